--- a/include/bronzeplank/error.hpp
+++ b/include/bronzeplank/error.hpp
@@ -31,6 +31,9 @@
     statement_failed,
     conflict,
     platform_unavailable,
+    not_fresh,
+    transaction_aborted,
+    unknown_statement,
     internal
 };
 
--- /dev/null
+++ b/include/bronzeplank/work_placement.hpp
@@ -0,0 +1,44 @@
+/// \file
+/// Which instance of a group serves a read.
+#pragma once
+
+#include "bronzeplank/time.hpp"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bronzeplank {
+
+/// An instance that could serve a read, as this host sees it.
+struct placement_candidate {
+    std::string instance;
+    bool primary = false;
+    bool same_domain = false;
+    /// How long new work waits there, by its gateway's last word.
+    duration reported_wait{};
+    /// Work that this host has sent there and has no answer to.
+    int outstanding = 0;
+    int slots = 1;
+    bool operator==(const placement_candidate&) const = default;
+};
+
+/// What moves a read away from the instance with the shortest wait.
+struct placement_costs {
+    /// The time that one statement is taken to hold a slot.
+    duration work_time = std::chrono::milliseconds(15);
+    /// A read in another domain pays for its bytes and for the way.
+    duration other_domain = std::chrono::milliseconds(6);
+    /// Writes can be served nowhere else.
+    duration primary = std::chrono::milliseconds(20);
+    bool operator==(const placement_costs&) const = default;
+};
+
+/// Answers uneven load on the replicas, which several hosts share without seeing each other's
+/// work: the least cost wins, where each candidate costs its expected wait and what it takes
+/// from others. Nothing without candidates. Equal costs go to the first candidate.
+std::optional<std::string> place_read(const std::vector<placement_candidate>& candidates,
+                                      const placement_costs& costs);
+
+} // namespace bronzeplank
--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -28,6 +28,7 @@
 using arguments = std::vector<std::string>;
 
 int serve(arguments words);
+int front(arguments words);
 int generate(arguments words);
 int check(arguments words);
 int apply(arguments words);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -19,6 +19,7 @@
 const std::map<std::string, subcommand>& subcommands() {
     static const std::map<std::string, subcommand> table = {
         {"serve", {&serve, "run a host"}},
+        {"front", {&front, "run a front host of the platform"}},
         {"generate", {&generate, "turn an answered questionnaire into a configuration"}},
         {"check", {&check, "check settings, a configuration, a questionnaire or a scenario"}},
         {"apply", {&apply, "put a configuration in force"}},
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -31,6 +31,9 @@
     error_answer{error_kind::statement_failed, "statement_failed", 422, not_run, false},
     error_answer{error_kind::conflict, "conflict", 409, not_run, true},
     error_answer{error_kind::platform_unavailable, "platform_unavailable", 503, not_run, true},
+    error_answer{error_kind::not_fresh, "not_fresh", 503, not_run, true},
+    error_answer{error_kind::transaction_aborted, "transaction_aborted", 409, not_run, true},
+    error_answer{error_kind::unknown_statement, "unknown_statement", 404, not_run, false},
     error_answer{error_kind::internal, "internal", 500, unknown, true},
 };
 
--- /dev/null
+++ b/src/core/primary_belief.cpp
@@ -0,0 +1,40 @@
+#include "bronzeplank/primary_belief.hpp"
+
+#include <algorithm>
+
+namespace bronzeplank {
+
+void primary_belief::learn(const std::string& instance, std::uint64_t term) {
+    m_newest = std::max(m_newest, term);
+    std::uint64_t& known = m_terms[instance];
+    known = std::max(known, term);
+}
+
+void primary_belief::unlearn(const std::string& instance, std::uint64_t term) {
+    m_newest = std::max(m_newest, term);
+    const auto found = m_terms.find(instance);
+    if (found != m_terms.end() && found->second <= term) {
+        m_terms.erase(found);
+    }
+}
+
+std::optional<known_primary> primary_belief::choose(const upstream_list& listed,
+                                                    const std::string& group) const {
+    std::optional<known_primary> best;
+    for (const auto& [id, instance] : listed) {
+        if (instance.group != group) {
+            continue;
+        }
+        const auto known = m_terms.find(id);
+        const std::uint64_t term = known == m_terms.end() ? 0 : known->second;
+        if (term == 0 && !instance.says_primary) {
+            continue;
+        }
+        if (!best || term > best->term) {
+            best = known_primary{id, term};
+        }
+    }
+    return best;
+}
+
+} // namespace bronzeplank
--- a/src/edge/peer_bus.cpp
+++ b/src/edge/peer_bus.cpp
@@ -11,7 +11,12 @@
 
 constexpr int queue_messages = 256;
 constexpr std::int64_t maximum_message_bytes = 4 << 20;
-constexpr int longest_reconnect_ms = 1000;
+constexpr int longest_reconnect_ms = 400;
+// A first packet that a cut swallowed is repeated only after seconds.
+constexpr int connect_timeout_ms = 500;
+// A connection may go silent without a reset; ZeroMQ's own pings find that out.
+constexpr int ping_interval_ms = 500;
+constexpr int ping_timeout_ms = 1500;
 constexpr std::chrono::milliseconds poll_period{100};
 
 } // namespace
@@ -39,6 +44,9 @@
         // Without a connection a message is dropped, so that none arrives long after its time.
         socket.set(zmq::sockopt::immediate, 1);
         socket.set(zmq::sockopt::reconnect_ivl_max, longest_reconnect_ms);
+        socket.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
+        socket.set(zmq::sockopt::heartbeat_ivl, ping_interval_ms);
+        socket.set(zmq::sockopt::heartbeat_timeout, ping_timeout_ms);
         socket.connect("tcp://" + address);
         return outgoing.emplace(address, std::move(socket)).first->second;
     }
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -31,6 +31,16 @@
     log_event_row{log_event::peer_lost, "peer_lost", "warning"},
     log_event_row{log_event::request_failed, "request_failed", "warning"},
     log_event_row{log_event::write_superseded, "write_superseded", "warning"},
+    log_event_row{log_event::operation_refused, "operation_refused", "info"},
+    log_event_row{log_event::operation_in_doubt, "operation_in_doubt", "warning"},
+    log_event_row{log_event::lines_left_out, "lines_left_out", "info"},
+    log_event_row{log_event::upstream_reachable, "upstream_reachable", "info"},
+    log_event_row{log_event::upstream_unreachable, "upstream_unreachable", "warning"},
+    log_event_row{log_event::connection_refused, "connection_refused", "warning"},
+    log_event_row{log_event::upstream_listed, "upstream_listed", "info"},
+    log_event_row{log_event::upstream_gone, "upstream_gone", "info"},
+    log_event_row{log_event::workspaces_limited, "workspaces_limited", "info"},
+    log_event_row{log_event::process_suspended, "process_suspended", "warning"},
 };
 
 } // namespace
--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -28,7 +28,17 @@
     peer_joined = 1501,
     peer_lost = 1502,
     request_failed = 1701,
-    write_superseded = 1702
+    write_superseded = 1702,
+    operation_refused = 1703,
+    operation_in_doubt = 1704,
+    lines_left_out = 1705,
+    upstream_reachable = 1801,
+    upstream_unreachable = 1802,
+    connection_refused = 1803,
+    upstream_listed = 1804,
+    upstream_gone = 1805,
+    workspaces_limited = 1901,
+    process_suspended = 2001
 };
 
 /// One row of the catalogue.
--- a/src/service/membership.cpp
+++ b/src/service/membership.cpp
@@ -155,7 +155,8 @@
             m_relay(message);
         }
         break;
-    case wire::envelope::PAYLOAD_NOT_SET:
+    default:
+        // Session hosts' messages belong to another kind of host.
         break;
     }
 }
--- /dev/null
+++ b/src/session/fleet.cpp
@@ -0,0 +1,425 @@
+#include "session/fleet.hpp"
+
+#include "peer.pb.h"
+#include "runtime/log.hpp"
+
+#include <random>
+
+namespace bronzeplank {
+
+namespace {
+
+// How often calls are checked against their limits.
+constexpr std::chrono::milliseconds sweep_period{50};
+// Orders and samples are small; a gateway that needs longer is no help.
+constexpr std::chrono::milliseconds small_call_limit{500};
+// A relayed statement's answer may take as long as its own limit and a round trip.
+constexpr std::chrono::milliseconds relay_slack{50};
+
+std::uint64_t new_incarnation() {
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+void write_work(const upstream_work& work, wire::upstream_work& into) {
+    into.set_group(work.group);
+    into.set_instance(work.instance);
+    into.set_workspace(work.workspace);
+    into.set_kind(static_cast<std::uint32_t>(work.what.kind));
+    into.set_statement_id(work.what.id);
+    into.set_text(work.what.text);
+    into.set_argument(work.what.argument);
+    into.set_shape_writes(work.what.shape.writes);
+    into.set_shape_text(work.what.shape.text);
+    for (const auto& [name, value] : work.values) {
+        auto* added = into.add_values();
+        added->set_name(name);
+        added->set_value(value);
+    }
+    into.set_has_position(work.at_least.has_value());
+    if (work.at_least) {
+        into.set_term(work.at_least->term);
+        into.set_offset(work.at_least->offset);
+    }
+    into.set_transaction(work.transaction ? work.transaction->number : 0);
+    into.set_opens_transaction(work.opens_transaction);
+    into.set_read_only_transaction(work.read_only_transaction);
+    into.set_strict(work.strict);
+    into.set_priority(work.priority);
+    into.set_objective_left_us(work.objective_left.count());
+    into.set_time_left_us(work.time_left.count());
+}
+
+upstream_work read_work(const std::string& from, const wire::upstream_work& message) {
+    upstream_work work;
+    work.group = message.group();
+    work.instance = message.instance();
+    work.workspace = message.workspace();
+    work.what.kind = static_cast<statement_kind>(message.kind());
+    work.what.id = message.statement_id();
+    work.what.text = message.text();
+    work.what.argument = message.argument();
+    work.what.shape = {message.shape_writes(), message.shape_text()};
+    for (const auto& value : message.values()) {
+        work.values.emplace_back(value.name(), value.value());
+    }
+    if (message.has_position()) {
+        work.at_least = log_position{message.term(), message.offset()};
+    }
+    if (message.transaction() != 0) {
+        work.transaction = transaction_key{from, message.transaction()};
+    }
+    work.opens_transaction = message.opens_transaction();
+    work.read_only_transaction = message.read_only_transaction();
+    work.strict = message.strict();
+    work.priority = message.priority();
+    work.objective_left = duration(message.objective_left_us());
+    work.time_left = duration(message.time_left_us());
+    return work;
+}
+
+} // namespace
+
+fleet::fleet(event_loop& loop, identity self, fleet_directory& directory, fleet_services services)
+    : m_loop(loop), m_self(std::move(self)), m_directory(directory),
+      m_services(std::move(services)), m_incarnation(new_incarnation()),
+      m_bus(loop, m_self.peers, [this](const wire::envelope& message) { receive(message); }) {}
+
+void fleet::start() {
+    tick();
+    sweep(event_loop::now());
+}
+
+fleet::~fleet() = default;
+
+std::vector<const fleet_peer*> fleet::live(time_point now) const {
+    std::vector<const fleet_peer*> found;
+    for (const auto& [name, peer] : m_peers) {
+        if (now - peer.heard < peer_silence) {
+            found.push_back(&peer);
+        }
+    }
+    return found;
+}
+
+const fleet_peer* fleet::find(const std::string& host) const {
+    const auto found = m_peers.find(host);
+    const bool lives =
+        found != m_peers.end() && event_loop::now() - found->second.heard < peer_silence;
+    return lives ? &found->second : nullptr;
+}
+
+std::uint64_t fleet::expect(const std::string& host, duration limit, call handlers) {
+    handlers.host = host;
+    handlers.limit = event_loop::now() + limit;
+    m_calls.emplace(m_next_call, std::move(handlers));
+    return m_next_call++;
+}
+
+bool fleet::send(const std::string& host, wire::envelope& message) {
+    const auto found = m_peers.find(host);
+    if (found == m_peers.end()) {
+        return false;
+    }
+    message.set_from(m_self.host);
+    return m_bus.send(found->second.address, message);
+}
+
+void fleet::run(const std::string& host, const upstream_work& work, answer_handler answered) {
+    wire::envelope message;
+    write_work(work, *message.mutable_work());
+    message.mutable_work()->set_id(m_next_call);
+    if (find(host) == nullptr || !send(host, message)) {
+        answered({upstream_result::unsent, {}, {}, {}});
+        return;
+    }
+    ++m_relayed;
+    expect(host, work.time_left + relay_slack, {{}, {}, std::move(answered), nullptr, nullptr});
+}
+
+void fleet::end_transaction(const std::string& host, const std::string& instance,
+                            const transaction_key& key) {
+    wire::envelope message;
+    message.mutable_end()->set_instance(instance);
+    message.mutable_end()->set_transaction(key.number);
+    // A gateway that misses this rolls the transaction back when it has rested for too long.
+    send(host, message);
+}
+
+void fleet::order(const std::string& host, const std::string& instance, replication_order what,
+                  std::uint64_t term, status_handler reported) {
+    wire::envelope message;
+    auto* asked = message.mutable_replication();
+    asked->set_id(m_next_call);
+    asked->set_instance(instance);
+    asked->set_order(static_cast<std::uint32_t>(what));
+    asked->set_term(term);
+    if (find(host) == nullptr || !send(host, message)) {
+        reported(std::nullopt);
+        return;
+    }
+    expect(host, small_call_limit, {{}, {}, nullptr, std::move(reported), nullptr});
+}
+
+void fleet::sample(const std::string& host, const std::string& group, sample_handler sampled) {
+    wire::envelope message;
+    message.mutable_sample()->set_id(m_next_call);
+    message.mutable_sample()->set_group(group);
+    if (find(host) == nullptr || !send(host, message)) {
+        sampled(std::nullopt);
+        return;
+    }
+    expect(host, small_call_limit, {{}, {}, nullptr, nullptr, std::move(sampled)});
+}
+
+void fleet::receive(const wire::envelope& message) {
+    switch (message.payload_case()) {
+    case wire::envelope::kFleet:
+        hear(message.fleet());
+        break;
+    case wire::envelope::kWork:
+        serve_work(message.from(), message);
+        break;
+    case wire::envelope::kEnd:
+        m_services.end_transaction(message.end().instance(),
+                                   {message.from(), message.end().transaction()});
+        break;
+    case wire::envelope::kReplication:
+        serve_order(message.from(), message);
+        break;
+    case wire::envelope::kSample:
+        serve_sample(message.from(), message);
+        break;
+    default:
+        finish(message);
+    }
+}
+
+void fleet::serve_work(const std::string& from, const wire::envelope& message) {
+    const std::uint64_t id = message.work().id();
+    m_services.run(read_work(from, message.work()),
+                   [this, from, id](const statement_answer& answer) {
+                       wire::envelope reply;
+                       auto* written = reply.mutable_work_answer();
+                       written->set_id(id);
+                       written->set_result(static_cast<std::uint32_t>(answer.result));
+                       for (const auto& row : answer.rows) {
+                           written->add_rows(row);
+                       }
+                       written->set_signature(answer.signature);
+                       written->set_term(answer.position.term);
+                       written->set_offset(answer.position.offset);
+                       send(from, reply);
+                   });
+}
+
+void fleet::serve_order(const std::string& from, const wire::envelope& message) {
+    const auto& asked = message.replication();
+    m_services.order(
+        asked.instance(), static_cast<replication_order>(asked.order()), asked.term(),
+        [this, from, id = asked.id()](const std::optional<replication_status>& status) {
+            wire::envelope reply;
+            auto* written = reply.mutable_replication_answer();
+            written->set_id(id);
+            written->set_answered(status.has_value());
+            if (status) {
+                written->set_primary(status->role == replication_role::primary);
+                written->set_term(status->term);
+                written->set_received_term(status->received.term);
+                written->set_received_offset(status->received.offset);
+                written->set_paused_by(status->paused_by);
+            }
+            send(from, reply);
+        });
+}
+
+void fleet::serve_sample(const std::string& from, const wire::envelope& message) {
+    m_services.sample(message.sample().group(), [this, from, id = message.sample().id()](
+                                                    const std::optional<log_position>& position) {
+        wire::envelope reply;
+        auto* written = reply.mutable_sample_answer();
+        written->set_id(id);
+        written->set_verified(position.has_value());
+        if (position) {
+            written->set_term(position->term);
+            written->set_offset(position->offset);
+        }
+        send(from, reply);
+    });
+}
+
+void fleet::finish(const wire::envelope& message) {
+    const auto take = [this](std::uint64_t id) {
+        const auto found = m_calls.find(id);
+        call taken;
+        if (found != m_calls.end()) {
+            taken = std::move(found->second);
+            m_calls.erase(found);
+        }
+        return taken;
+    };
+    if (message.has_work_answer()) {
+        const auto& read = message.work_answer();
+        if (const auto waiting = take(read.id()); waiting.answered) {
+            statement_answer answer{static_cast<upstream_result>(read.result()),
+                                    {read.rows().begin(), read.rows().end()},
+                                    read.signature(),
+                                    {read.term(), read.offset()}};
+            waiting.answered(answer);
+        }
+    } else if (message.has_replication_answer()) {
+        const auto& read = message.replication_answer();
+        if (const auto waiting = take(read.id()); waiting.reported) {
+            const replication_status status{read.primary() ? replication_role::primary
+                                                           : replication_role::replica,
+                                            read.term(),
+                                            {read.received_term(), read.received_offset()},
+                                            read.paused_by()};
+            waiting.reported(read.answered() ? std::optional(status) : std::nullopt);
+        }
+    } else if (message.has_sample_answer()) {
+        const auto& read = message.sample_answer();
+        if (const auto waiting = take(read.id()); waiting.sampled) {
+            const log_position position{read.term(), read.offset()};
+            waiting.sampled(read.verified() ? std::optional(position) : std::nullopt);
+        }
+    }
+}
+
+void fleet::hear(const wire::fleet_beat& beat) {
+    if (beat.host() == m_self.host) {
+        return;
+    }
+    fleet_peer& peer = m_peers[beat.host()];
+    const bool started_again = peer.incarnation != 0 && peer.incarnation != beat.incarnation();
+    if (peer.incarnation != beat.incarnation()) {
+        log(log_event::peer_joined, {{"host", beat.host()}, {"address", beat.peer_address()}});
+    }
+    if (peer.address != beat.peer_address() && !peer.address.empty()) {
+        m_bus.forget(peer.address);
+    }
+    peer.host = beat.host();
+    peer.failure_domain = beat.failure_domain();
+    peer.address = beat.peer_address();
+    peer.incarnation = beat.incarnation();
+    peer.leaving = beat.leaving();
+    peer.heard = event_loop::now();
+    peer.lanes.clear();
+    for (const auto& lane : beat.lanes()) {
+        peer.lanes[lane.instance()] = {lane.reachable(),
+                                       duration(static_cast<std::int64_t>(lane.wait_us()))};
+    }
+    peer.demands.clear();
+    for (const auto& demand : beat.demands()) {
+        peer.demands[demand.workspace()] = demand.per_second();
+    }
+    for (const auto& primary : beat.primaries()) {
+        m_services.learn_primary(primary.group(), {primary.instance(), primary.term()});
+    }
+    if (started_again) {
+        fail_calls_to(beat.host());
+    }
+}
+
+void fleet::fail(const call& failed, upstream_result result) {
+    if (failed.answered) {
+        failed.answered({result, {}, {}, {}});
+    }
+    if (failed.reported) {
+        failed.reported(std::nullopt);
+    }
+    if (failed.sampled) {
+        failed.sampled(std::nullopt);
+    }
+}
+
+void fleet::fail_calls_to(const std::string& host) {
+    std::vector<call> failed;
+    std::erase_if(m_calls, [&](auto& entry) {
+        const bool matches = entry.second.host == host;
+        if (matches) {
+            failed.push_back(std::move(entry.second));
+        }
+        return matches;
+    });
+    for (const auto& entry : failed) {
+        fail(entry, upstream_result::unanswered);
+    }
+}
+
+void fleet::sweep(time_point now) {
+    std::vector<call> failed;
+    std::erase_if(m_calls, [&](auto& entry) {
+        const bool late = entry.second.limit <= now || find(entry.second.host) == nullptr;
+        if (late) {
+            failed.push_back(std::move(entry.second));
+        }
+        return late;
+    });
+    for (const auto& entry : failed) {
+        fail(entry, upstream_result::unanswered);
+    }
+    m_sweep = m_loop.after(sweep_period, [this] { sweep(event_loop::now()); });
+}
+
+std::map<std::string, std::string> fleet::addresses() const {
+    std::map<std::string, std::string> known;
+    for (const auto& seed : m_self.known_peers) {
+        known[seed.to_text()] = "";
+    }
+    for (const auto& [name, host] : m_directory.hosts()) {
+        known[host.peers.to_text()] = name;
+    }
+    const time_point now = event_loop::now();
+    for (const auto& [name, peer] : m_peers) {
+        if (now - peer.heard < peer_silence) {
+            known[peer.address] = name;
+        }
+    }
+    known.erase(m_self.peers.to_text());
+    return known;
+}
+
+void fleet::beat() {
+    wire::envelope message;
+    message.set_from(m_self.host);
+    auto* beat = message.mutable_fleet();
+    beat->set_host(m_self.host);
+    beat->set_failure_domain(m_self.failure_domain);
+    beat->set_peer_address(m_self.peers.to_text());
+    beat->set_incarnation(m_incarnation);
+    beat->set_leaving(m_leaving);
+    for (const auto& [instance, state] : m_services.lanes()) {
+        auto* lane = beat->add_lanes();
+        lane->set_instance(instance);
+        lane->set_reachable(state.reachable);
+        lane->set_wait_us(
+            static_cast<std::uint64_t>(std::max<duration::rep>(0, state.wait.count())));
+    }
+    for (const auto& [workspace, per_second] : m_services.demands()) {
+        auto* demand = beat->add_demands();
+        demand->set_workspace(workspace);
+        demand->set_per_second(per_second);
+    }
+    for (const auto& [group, primary] : m_services.primaries()) {
+        auto* view = beat->add_primaries();
+        view->set_group(group);
+        view->set_instance(primary.instance);
+        view->set_term(primary.term);
+    }
+    for (const auto& [address, host] : addresses()) {
+        m_bus.send(address, message);
+    }
+}
+
+void fleet::tick() {
+    beat();
+    m_tick = m_loop.after(beat_period, [this] { tick(); });
+}
+
+void fleet::leave() {
+    m_leaving = true;
+    beat();
+}
+
+} // namespace bronzeplank
--- /dev/null
+++ b/src/session/fleet.hpp
@@ -0,0 +1,134 @@
+/// \file
+/// The other session hosts: who lives, what they reach, and work that is handed to them.
+#pragma once
+
+#include "edge/peer_bus.hpp"
+#include "session/fleet_directory.hpp"
+#include "session/upstream_work.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bronzeplank::wire {
+class fleet_beat;
+}
+
+namespace bronzeplank {
+
+/// What a gateway says of an instance.
+struct lane_state {
+    bool reachable = true;
+    duration wait{};
+    bool operator==(const lane_state&) const = default;
+};
+
+/// Another host as heard last.
+struct fleet_peer {
+    std::string host;
+    std::string failure_domain;
+    std::string address;
+    std::uint64_t incarnation = 0;
+    bool leaving = false;
+    time_point heard;
+    std::map<std::string, lane_state, std::less<>> lanes;
+    /// Operations a second, by workspace.
+    std::map<std::string, double, std::less<>> demands;
+};
+
+/// What this host does for others, and tells them.
+struct fleet_services {
+    std::function<void(upstream_work, answer_handler)> run;
+    std::function<void(const std::string&, const transaction_key&)> end_transaction;
+    std::function<void(const std::string&, replication_order, std::uint64_t, status_handler)> order;
+    std::function<void(const std::string&, sample_handler)> sample;
+    std::function<std::map<std::string, lane_state, std::less<>>()> lanes;
+    std::function<std::map<std::string, double>()> demands;
+    std::function<std::map<std::string, known_primary>()> primaries;
+    std::function<void(const std::string&, const known_primary&)> learn_primary;
+};
+
+/// Exchanges beats with every known host and relays work. A peer that has been silent for
+/// `peer_silence`, or has started again, answers nothing any more: what it was asked is
+/// unanswered. A call to a peer that isn't connected is `unsent`.
+class fleet {
+public:
+    struct identity {
+        std::string host;
+        std::string failure_domain;
+        endpoint peers;
+        std::vector<endpoint> known_peers;
+    };
+
+    static constexpr std::chrono::milliseconds beat_period{200};
+    static constexpr std::chrono::milliseconds peer_silence{650};
+
+    fleet(event_loop& loop, identity self, fleet_directory& directory, fleet_services services);
+    ~fleet();
+    fleet(const fleet&) = delete;
+    fleet& operator=(const fleet&) = delete;
+
+    /// Begins to beat; everything that the services use must be there by then.
+    void start();
+
+    /// The peers that were heard lately, by name.
+    std::vector<const fleet_peer*> live(time_point now) const;
+    /// Null unless the peer lives.
+    const fleet_peer* find(const std::string& host) const;
+
+    void run(const std::string& host, const upstream_work& work, answer_handler answered);
+    void end_transaction(const std::string& host, const std::string& instance,
+                         const transaction_key& key);
+    void order(const std::string& host, const std::string& instance, replication_order what,
+               std::uint64_t term, status_handler reported);
+    void sample(const std::string& host, const std::string& group, sample_handler sampled);
+
+    /// Tells all peers at once, instead of at the next beat.
+    void beat();
+    void leave();
+
+    std::uint64_t relayed() const { return m_relayed; }
+    std::uint64_t bytes_sent() const { return m_bus.bytes_sent(); }
+
+private:
+    struct call {
+        std::string host;
+        time_point limit;
+        answer_handler answered;
+        status_handler reported;
+        sample_handler sampled;
+    };
+
+    void receive(const wire::envelope& message);
+    void hear(const wire::fleet_beat& beat);
+    void serve_work(const std::string& from, const wire::envelope& message);
+    void serve_order(const std::string& from, const wire::envelope& message);
+    void serve_sample(const std::string& from, const wire::envelope& message);
+    void finish(const wire::envelope& message);
+    std::uint64_t expect(const std::string& host, duration limit, call handlers);
+    bool send(const std::string& host, wire::envelope& message);
+    void fail(const call& failed, upstream_result result);
+    void fail_calls_to(const std::string& host);
+    void tick();
+    void sweep(time_point now);
+    std::map<std::string, std::string> addresses() const;
+
+    event_loop& m_loop;
+    identity m_self;
+    fleet_directory& m_directory;
+    fleet_services m_services;
+    std::uint64_t m_incarnation;
+    bool m_leaving = false;
+    std::map<std::string, fleet_peer> m_peers;
+    std::map<std::uint64_t, call> m_calls;
+    std::uint64_t m_next_call = 1;
+    std::uint64_t m_relayed = 0;
+    peer_bus m_bus;
+    timer m_tick;
+    timer m_sweep;
+};
+
+} // namespace bronzeplank
--- /dev/null
+++ b/src/session/fleet_directory.cpp
@@ -0,0 +1,97 @@
+#include "session/fleet_directory.hpp"
+
+#include "runtime/log.hpp"
+
+namespace bronzeplank {
+
+void fleet_directory::accept(std::shared_ptr<const fleet_configuration> configuration) {
+    if (m_configuration && configuration->version <= m_configuration->version) {
+        return;
+    }
+    m_configuration = std::move(configuration);
+    log(log_event::configuration_in_force,
+        {{"version", std::to_string(m_configuration->version)},
+         {"routes", std::to_string(m_configuration->routes.size())},
+         {"keys", std::to_string(m_configuration->key_owners.size())}});
+}
+
+void fleet_directory::list_instances(upstream_list listed, time_point now) {
+    for (const auto& [id, known] : upstream_list(m_instances)) {
+        if (!listed.contains(id)) {
+            remove_instance(id, now);
+        }
+    }
+    for (const auto& [id, instance] : listed) {
+        list_instance(instance);
+    }
+}
+
+void fleet_directory::list_instance(const upstream_instance& instance) {
+    m_missing.erase(instance.id);
+    upstream_instance& known = m_instances[instance.id];
+    if (known == instance) {
+        return;
+    }
+    const bool reborn = known.born_ms != 0 && known.born_ms != instance.born_ms;
+    // A process that has started again leads no term that it led before.
+    if ((known.says_primary && !instance.says_primary) || reborn) {
+        primary_belief& group = m_beliefs[instance.group];
+        group.unlearn(instance.id, group.newest_term());
+    }
+    known = instance;
+    log(log_event::upstream_listed, {{"instance", instance.id},
+                                     {"group", instance.group},
+                                     {"address", instance.address.to_text()},
+                                     {"leaving", instance.leaving ? "true" : "false"},
+                                     {"says_primary", instance.says_primary ? "true" : "false"}});
+}
+
+void fleet_directory::remove_instance(const std::string& id, time_point now) {
+    if (!m_instances.contains(id)) {
+        return;
+    }
+    m_missing.emplace(id, now);
+    drop_lapsed(now);
+}
+
+void fleet_directory::drop_lapsed(time_point now) {
+    if (now < m_lapses_until) {
+        return;
+    }
+    for (const auto& [id, since] : m_missing) {
+        log(log_event::upstream_gone, {{"instance", id}});
+        m_instances.erase(id);
+    }
+    m_missing.clear();
+}
+
+const upstream_instance* fleet_directory::instance(const std::string& id) const {
+    const auto found = m_instances.find(id);
+    return found == m_instances.end() ? nullptr : &found->second;
+}
+
+bool fleet_directory::takes_work(const upstream_instance& instance) const {
+    return !instance.leaving && !m_withdrawn.contains(instance.failure_domain);
+}
+
+std::optional<known_primary> fleet_directory::primary(const std::string& group) {
+    return m_beliefs[group].choose(m_instances, group);
+}
+
+std::optional<std::string> fleet_directory::owner_of(const std::string& credential) const {
+    if (!m_configuration) {
+        return std::nullopt;
+    }
+    const auto found = m_configuration->key_owners.find(credential);
+    return found == m_configuration->key_owners.end() ? std::nullopt : std::optional(found->second);
+}
+
+const database_route* fleet_directory::route(const std::string& database) const {
+    if (!m_configuration) {
+        return nullptr;
+    }
+    const auto found = m_configuration->routes.find(database);
+    return found == m_configuration->routes.end() ? nullptr : &found->second;
+}
+
+} // namespace bronzeplank
--- /dev/null
+++ b/src/session/session_service.cpp
@@ -0,0 +1,194 @@
+#include "session/session_service.hpp"
+
+#include "bronzeplank/work_placement.hpp"
+#include "runtime/log.hpp"
+
+#include <algorithm>
+
+namespace bronzeplank {
+
+namespace {
+
+// A quarter of the shortest staleness that routes usually allow.
+constexpr std::chrono::milliseconds sample_period{350};
+// Groups that nobody reads from need no samples.
+constexpr std::chrono::seconds sampled_after_use{3};
+constexpr std::chrono::milliseconds tick_period{100};
+// The acknowledgement of a withdrawal is older than its arrival here.
+constexpr std::chrono::milliseconds withdrawal_slack{1000};
+// Callers of open databases have no workspace of their own.
+constexpr std::string_view open_workspace = "open";
+
+} // namespace
+
+session_service::session_service(event_loop& loop, fleet_directory& directory,
+                                 upstream_router& router, fleet& peers, withdrawal_bounds bounds)
+    : m_loop(loop), m_directory(directory), m_router(router), m_fleet(peers), m_bounds(bounds) {
+    tick();
+}
+
+std::string session_service::authenticate(const database_route& route,
+                                          const std::string& credential) const {
+    if (const auto owner = m_directory.owner_of(credential)) {
+        return *owner;
+    }
+    if (route.open) {
+        return std::string(open_workspace);
+    }
+    throw request_error(error_kind::unauthenticated, "the key is not known");
+}
+
+bool session_service::admit(const std::string& workspace) {
+    const auto& policies = m_directory.configuration()->workspaces;
+    const auto policy = policies.find(workspace);
+    if (policy == policies.end()) {
+        return true;
+    }
+    return m_shares[workspace].admit(event_loop::now(), policy->second.rate_per_second,
+                                     policy->second.burst);
+}
+
+std::map<std::string, double> session_service::demands() const {
+    const time_point now = event_loop::now();
+    std::map<std::string, double> found;
+    for (const auto& [workspace, share] : m_shares) {
+        found[workspace] = share.demand(now);
+    }
+    return found;
+}
+
+std::optional<statement_target>
+session_service::place_read(const database_route& route, const std::optional<log_position>& written,
+                            const std::set<std::string>& avoided) {
+    want_samples(route.group);
+    const time_point now = event_loop::now();
+    const auto needed = m_groups[route.group].window.needed(now, route.max_staleness);
+    if (!needed) {
+        return place_at_primary(route, true);
+    }
+    const auto primary = m_directory.primary(route.group);
+    std::vector<placement_candidate> candidates;
+    for (const auto& [id, instance] : m_directory.instances()) {
+        if (instance.group != route.group || avoided.contains(id)) {
+            continue;
+        }
+        const bool is_primary = primary && primary->instance == id;
+        const lane_state state = m_router.state_of(instance);
+        const bool usable =
+            m_directory.takes_work(instance) || (is_primary && may_use_primary(instance));
+        if (usable && state.reachable) {
+            candidates.push_back({id, is_primary,
+                                  instance.failure_domain == m_router.failure_domain(), state.wait,
+                                  m_outstanding[id], instance.slots});
+        }
+    }
+    const auto chosen = bronzeplank::place_read(candidates, {});
+    if (!chosen) {
+        return std::nullopt;
+    }
+    const upstream_instance* instance = m_directory.instance(*chosen);
+    return statement_target{*chosen, m_router.gateway_of(*instance),
+                            written ? std::max(*written, *needed) : *needed, false};
+}
+
+bool session_service::may_use_primary(const upstream_instance& instance) const {
+    if (m_directory.takes_work(instance)) {
+        return true;
+    }
+    const auto since = m_leaving_since.find(instance.id);
+    if (since == m_leaving_since.end()) {
+        return true;
+    }
+    const bool withdrawn = m_directory.withdrawn_domains().contains(instance.failure_domain);
+    const duration bound = withdrawn ? m_bounds.withdrawn_domain : m_bounds.leaving_instance;
+    return event_loop::now() - since->second < bound - withdrawal_slack;
+}
+
+std::optional<statement_target> session_service::place_at_primary(const database_route& route,
+                                                                  bool strict) {
+    const auto primary = m_directory.primary(route.group);
+    const upstream_instance* instance = primary ? m_directory.instance(primary->instance) : nullptr;
+    if (instance == nullptr || !may_use_primary(*instance)) {
+        return std::nullopt;
+    }
+    return statement_target{instance->id, m_router.gateway_of(*instance), std::nullopt, strict};
+}
+
+void session_service::run(const statement_target& target, const upstream_work& work,
+                          answer_handler answered) {
+    ++m_outstanding[target.instance];
+    m_router.run(target.gateway, work,
+                 [this, instance = target.instance,
+                  answered = std::move(answered)](const statement_answer& answer) {
+                     --m_outstanding[instance];
+                     answered(answer);
+                 });
+}
+
+void session_service::end_transaction(const statement_target& target, const transaction_key& key) {
+    m_router.end_transaction(target.gateway, target.instance, key);
+}
+
+transaction_key session_service::new_transaction() {
+    return {m_router.host(), ++m_last_transaction};
+}
+
+void session_service::want_samples(const std::string& group) {
+    group_state& state = m_groups[group];
+    state.wanted = event_loop::now();
+    if (!state.window.newest()) {
+        take_sample(group);
+    }
+}
+
+void session_service::take_sample(const std::string& group) {
+    group_state& state = m_groups[group];
+    if (state.sampling) {
+        return;
+    }
+    const time_point asked = event_loop::now();
+    state.sampling = true;
+    state.sampled = asked;
+    m_router.sample(group, [this, group, asked](const std::optional<log_position>& position) {
+        group_state& sampled = m_groups[group];
+        sampled.sampling = false;
+        if (position) {
+            sampled.window.add(asked, *position);
+        }
+    });
+}
+
+void session_service::forget_samples() {
+    for (auto& [group, state] : m_groups) {
+        state.window.clear();
+    }
+}
+
+void session_service::tick() {
+    const time_point now = event_loop::now();
+    for (auto& [group, state] : m_groups) {
+        const bool due = now - state.sampled >= sample_period;
+        if (due && now - state.wanted < sampled_after_use) {
+            take_sample(group);
+        }
+    }
+    const auto peers = m_fleet.live(now);
+    for (auto& [workspace, share] : m_shares) {
+        double others = 0;
+        for (const fleet_peer* peer : peers) {
+            const auto demand = peer->demands.find(workspace);
+            others += demand == peer->demands.end() ? 0 : demand->second;
+        }
+        share.set_view(others, peers.size() + 1);
+    }
+    for (const auto& [id, instance] : m_directory.instances()) {
+        if (m_directory.takes_work(instance)) {
+            m_leaving_since.erase(id);
+        } else {
+            m_leaving_since.emplace(id, now);
+        }
+    }
+    m_tick = m_loop.after(tick_period, [this] { tick(); });
+}
+
+} // namespace bronzeplank
--- /dev/null
+++ b/src/session/upstream_lane.hpp
@@ -0,0 +1,605 @@
+/// \file
+/// One gateway's connections to one instance, and the work that waits for it.
+#pragma once
+
+#include "bronzeplank/fleet_configuration.hpp"
+#include "bronzeplank/work_queue.hpp"
+#include "runtime/event_loop.hpp"
+#include "runtime/log.hpp"
+#include "session/upstream_work.hpp"
+
+#include <algorithm>
+#include <concepts>
+#include <list>
+#include <map>
+#include <memory>
+
+namespace bronzeplank {
+
+/// A connection to an instance on behalf of one workspace. Requests are answered in their order;
+/// when the connection ends, each unanswered one gets `unanswered`, and then `closed` is called.
+template <class Link>
+concept upstream_link = requires(Link link, const statement& what, const std::string& text,
+                                 const statement_shape& shape, std::optional<log_position> position,
+                                 answer_handler answered, status_handler reported) {
+    link.clear_session();
+    link.set_value(text, text);
+    link.prepare(text, shape);
+    link.begin(true, position, answered);
+    link.rollback();
+    link.run(what, text, position, answered);
+    link.order(replication_order::pause, std::uint64_t{}, reported);
+    link.close();
+};
+
+/// How a lane uses its instance.
+struct lane_limits {
+    /// Connections of this lane, its control connection included.
+    int connections = 4;
+    /// Statements that wait.
+    std::size_t waiting = 256;
+    /// An instance that leaves a question about itself unanswered for this long can't be reached.
+    duration silence = std::chrono::milliseconds(400);
+    /// How often an idle instance is asked, and one that can't be reached.
+    duration idle_probe = std::chrono::milliseconds(500);
+    /// A transaction without a statement for this long is rolled back.
+    duration transaction_idle = std::chrono::seconds(3);
+    bool operator==(const lane_limits&) const = default;
+};
+
+/// Proves that the instance is the group's primary at some time after the call.
+using primary_proof = std::function<void(const std::string& group, const std::string& instance,
+                                         std::function<void(bool)>)>;
+
+/// Runs work at one instance. A connection belongs to one workspace; a transaction keeps its
+/// connection from its first statement to its end. No more statements run at a time than the
+/// instance has slots, and one more, so that a slot doesn't rest for a round trip.
+/// Invariants: a connection runs one statement at a time; a statement of a transaction runs on
+/// the connection of the transaction's first statement or not at all.
+template <upstream_link Link>
+class upstream_lane {
+public:
+    upstream_lane(event_loop& loop, upstream_instance instance, lane_limits limits,
+                  primary_proof prove)
+        : m_loop(loop), m_instance(std::move(instance)), m_limits(limits),
+          m_prove(std::move(prove)), m_waiting(limits.waiting) {}
+
+    ~upstream_lane() { close("gateway stopped"); }
+    upstream_lane(const upstream_lane&) = delete;
+    upstream_lane& operator=(const upstream_lane&) = delete;
+
+    /// Runs the work, or refuses it at once; the handler is called exactly once.
+    void run(upstream_work work, answer_handler answered) {
+        const time_point now = event_loop::now();
+        m_used = now;
+        if (work.transaction && !work.opens_transaction) {
+            continue_transaction(std::move(work), std::move(answered));
+            return;
+        }
+        const work_urgency urgency{work.priority, now + work.objective_left, now + work.time_left};
+        if (!m_reachable) {
+            answered({upstream_result::unsent, {}, {}, {}});
+            return;
+        }
+        if (!m_waiting.admits(urgency, now, m_work_time, m_instance.slots)) {
+            answered({upstream_result::overloaded, {}, {}, {}});
+            return;
+        }
+        m_waiting.push({std::move(work), std::move(answered), now}, urgency);
+        pump();
+    }
+
+    /// Rolls the transaction back, if it is open here.
+    void end_transaction(const transaction_key& key) {
+        if (const auto found = m_transactions.find(key); found != m_transactions.end()) {
+            const auto holder = found->second;
+            if (holder->running) {
+                drop(*holder);
+            } else {
+                finish_transaction(*holder, true);
+            }
+            pump();
+        }
+    }
+
+    /// Gives an order on the control connection; nothing comes back when it isn't answered.
+    void order(replication_order what, std::uint64_t term, status_handler reported) {
+        m_used = event_loop::now();
+        control_link().order(what, term,
+                             [this, reported](const std::optional<replication_status>& status) {
+                                 if (status) {
+                                     hear();
+                                 }
+                                 reported(status);
+                             });
+    }
+
+    /// Probes, time limits, idle transactions; called some fifty times a second while in use.
+    /// \param watch whether the instance is to be probed while nothing else asks it
+    void tick(time_point now, bool watch) {
+        expire(now);
+        probe(now, watch);
+        std::erase_if(m_links, [](const auto& link) { return link->gone; });
+        if (m_control && m_control_gone) {
+            m_control.reset();
+        }
+        pump();
+    }
+
+    const upstream_instance& instance() const { return m_instance; }
+    /// Takes over what changed in the list, such as a state or the number of slots.
+    void update(const upstream_instance& instance) { m_instance = instance; }
+    bool reachable() const { return m_reachable; }
+    bool busy() const { return m_running > 0 || m_waiting.size() > 0 || !m_transactions.empty(); }
+    time_point used() const { return m_used; }
+    std::size_t connections() const { return m_links.size(); }
+    std::uint64_t opened() const { return m_opened; }
+
+    /// How long work without priority would wait for a slot.
+    duration wait() const {
+        const auto beyond =
+            static_cast<int>(m_waiting.size()) + std::max(0, m_running - m_instance.slots);
+        return m_work_time * beyond / std::max(1, m_instance.slots);
+    }
+
+    /// Closes all connections; running work gets `unanswered`, waiting work `unsent`.
+    void close(std::string_view) {
+        for (auto& link : m_links) {
+            drop(*link);
+        }
+        if (m_control) {
+            m_control->close();
+        }
+        refuse_waiting(upstream_result::unsent);
+    }
+
+    /// Closes connections that nothing uses, as when another host became the gateway.
+    void close_idle() {
+        for (auto& link : m_links) {
+            if (link->ready && !link->running && !link->transaction) {
+                drop(*link);
+            }
+        }
+    }
+
+private:
+    struct waiting_work {
+        upstream_work work;
+        answer_handler answered;
+        time_point arrived;
+    };
+
+    struct connection {
+        std::unique_ptr<Link> link;
+        std::string workspace;
+        session_values values;
+        std::map<statement_shape, std::string> prepared;
+        std::optional<transaction_key> transaction;
+        bool ready = false;
+        bool running = false;
+        bool gone = false;
+        time_point used;
+        time_point started;
+        time_point limit;
+        /// What the connection was opened for.
+        std::optional<waiting_work> first;
+        /// What runs, until it is answered.
+        answer_handler answered;
+    };
+
+    // The parts of a strict read's answer, of which the later one delivers it.
+    struct strict_answer {
+        std::optional<statement_answer> answer;
+        std::optional<bool> proved;
+        answer_handler answered;
+
+        void deliver_if_whole() {
+            if (!answer || !answered) {
+                return;
+            }
+            const auto deliver = std::exchange(answered, nullptr);
+            if (answer->result != upstream_result::done || proved == true) {
+                deliver(*answer);
+            } else if (proved == false) {
+                deliver({upstream_result::behind, {}, {}, {}});
+            } else {
+                answered = deliver;
+            }
+        }
+    };
+
+    answer_handler with_proof(const std::string& group, answer_handler answered) {
+        auto whole = std::make_shared<strict_answer>();
+        whole->answered = std::move(answered);
+        m_prove(group, m_instance.id, [whole](bool proved) {
+            whole->proved = proved;
+            whole->deliver_if_whole();
+        });
+        return [whole](const statement_answer& answer) {
+            whole->answer = answer;
+            whole->deliver_if_whole();
+        };
+    }
+
+    void hear() {
+        m_heard = event_loop::now();
+        m_asked.reset();
+        set_reachable(true);
+    }
+
+    void set_reachable(bool reachable) {
+        if (m_reachable == reachable) {
+            return;
+        }
+        m_reachable = reachable;
+        log(reachable ? log_event::upstream_reachable : log_event::upstream_unreachable,
+            {{"instance", m_instance.id},
+             {"group", m_instance.group},
+             {"address", m_instance.address.to_text()}});
+        if (!reachable) {
+            refuse_waiting(upstream_result::unsent);
+        }
+    }
+
+    void refuse_waiting(upstream_result result) {
+        while (auto next =
+                   m_waiting.pop(event_loop::now(), [](const waiting_work&) { return true; })) {
+            next->answered({result, {}, {}, {}});
+        }
+    }
+
+    // Work of a transaction does not queue: it holds a connection that others wait for.
+    void continue_transaction(upstream_work work, answer_handler answered) {
+        const auto found = m_transactions.find(*work.transaction);
+        if (found == m_transactions.end() || found->second->running) {
+            answered({upstream_result::unsent, {}, {}, {}});
+            return;
+        }
+        start(found->second, {std::move(work), std::move(answered), event_loop::now()});
+    }
+
+    void pump() {
+        if (m_pumping) {
+            return;
+        }
+        m_pumping = true;
+        while (m_running <= m_instance.slots) {
+            const auto usable = [this](const waiting_work& next) {
+                return idle_link(next.work.workspace) != nullptr || may_open();
+            };
+            auto next = m_waiting.pop(event_loop::now(), usable);
+            if (!next) {
+                break;
+            }
+            if (const auto idle = idle_link(next->work.workspace)) {
+                start(idle, std::move(*next));
+            } else {
+                open(std::move(*next));
+            }
+        }
+        m_pumping = false;
+    }
+
+    std::shared_ptr<connection> idle_link(const std::string& workspace) {
+        for (const auto& link : m_links) {
+            if (link->workspace == workspace && is_idle(*link)) {
+                return link;
+            }
+        }
+        return nullptr;
+    }
+
+    static bool is_idle(const connection& link) {
+        return link.ready && !link.running && !link.gone && !link.transaction;
+    }
+
+    std::shared_ptr<connection> least_used() {
+        std::shared_ptr<connection> oldest;
+        for (const auto& link : m_links) {
+            if (is_idle(*link) && (!oldest || link->used < oldest->used)) {
+                oldest = link;
+            }
+        }
+        return oldest;
+    }
+
+    int open_links() const {
+        return static_cast<int>(std::count_if(m_links.begin(), m_links.end(),
+                                              [](const auto& link) { return !link->gone; }));
+    }
+
+    bool may_open() { return open_links() + 1 < m_limits.connections || least_used() != nullptr; }
+
+    void open(waiting_work work) {
+        if (open_links() + 1 >= m_limits.connections) {
+            drop(*least_used());
+        }
+        const time_point now = event_loop::now();
+        auto added = std::make_shared<connection>();
+        added->workspace = work.work.workspace;
+        added->used = now;
+        added->started = now;
+        added->limit = now + work.work.time_left;
+        added->first = std::move(work);
+        added->running = true;
+        ++m_running;
+        ++m_opened;
+        m_links.push_back(added);
+        const std::weak_ptr<connection> weak = added;
+        added->link = std::make_unique<Link>(
+            m_loop, m_instance, added->workspace,
+            [this, weak](upstream_result result) { on_open(weak.lock(), result); },
+            [this, weak] { on_closed(weak.lock()); });
+    }
+
+    void on_open(const std::shared_ptr<connection>& link, upstream_result result) {
+        if (!link || link->gone || !link->first) {
+            return;
+        }
+        stop_running(*link);
+        waiting_work work = std::move(*link->first);
+        link->first.reset();
+        if (result != upstream_result::done) {
+            link->gone = true;
+            log_refused_connection(*link, result);
+            work.answered({result, {}, {}, {}});
+            pump();
+            return;
+        }
+        hear();
+        link->ready = true;
+        start(link, std::move(work));
+    }
+
+    void log_refused_connection(const connection& link, upstream_result result) {
+        log(log_event::connection_refused, {{"instance", m_instance.id},
+                                            {"workspace", link.workspace},
+                                            {"result", std::string(to_string(result))}});
+    }
+
+    void on_closed(const std::shared_ptr<connection>& link) {
+        if (!link || link->gone) {
+            return;
+        }
+        drop(*link);
+        // A connection that ends by itself is the first sign of an instance that crashed.
+        ask();
+        pump();
+    }
+
+    // Ends the connection; what ran on it is unanswered, what it was opened for is unsent.
+    void drop(connection& link) {
+        if (link.gone) {
+            return;
+        }
+        link.gone = true;
+        if (link.transaction) {
+            m_transactions.erase(*link.transaction);
+            link.transaction.reset();
+        }
+        if (link.running) {
+            stop_running(link);
+        }
+        if (link.link) {
+            link.link->close();
+        }
+        if (auto first = std::exchange(link.first, std::nullopt)) {
+            first->answered({upstream_result::unsent, {}, {}, {}});
+        }
+        if (auto answered = std::exchange(link.answered, nullptr)) {
+            answered({upstream_result::unanswered, {}, {}, {}});
+        }
+    }
+
+    void stop_running(connection& link) {
+        link.running = false;
+        --m_running;
+    }
+
+    void start(const std::shared_ptr<connection>& link, waiting_work work) {
+        const time_point now = event_loop::now();
+        link->running = true;
+        ++m_running;
+        link->started = now;
+        link->used = now;
+        link->limit = now + work.work.time_left;
+        link->answered = work.work.strict ? with_proof(work.work.group, std::move(work.answered))
+                                          : std::move(work.answered);
+        apply_values(*link, work.work.values);
+        if (!work.work.opens_transaction) {
+            send(link, work.work, work.work.transaction ? std::nullopt : work.work.at_least);
+            return;
+        }
+        link->transaction = work.work.transaction;
+        m_transactions[*link->transaction] = link;
+        // The statement waits for the answer: after a refused begin it would run outside.
+        link->link->begin(work.work.read_only_transaction, work.work.at_least,
+                          [this, link, work = work.work](const statement_answer& begun) {
+                              if (link->gone) {
+                                  return;
+                              }
+                              if (begun.result != upstream_result::done) {
+                                  finish(link, begun, true);
+                                  return;
+                              }
+                              send(link, work, std::nullopt);
+                          });
+    }
+
+    void send(const std::shared_ptr<connection>& link, const upstream_work& work,
+              const std::optional<log_position>& at_least) {
+        const std::string prepared =
+            work.what.kind == statement_kind::execute ? prepare(*link, work.what.shape) : "";
+        const bool ends = work.what.kind == statement_kind::commit;
+        link->link->run(work.what, prepared, at_least,
+                        [this, link, ends](const statement_answer& answer) {
+                            if (!link->gone) {
+                                finish(link, answer, ends);
+                            }
+                        });
+    }
+
+    // A connection has exactly the session's values when its statement runs.
+    static void apply_values(connection& link, const session_values& wanted) {
+        const auto keeps = [&](const auto& held) {
+            return std::any_of(wanted.begin(), wanted.end(),
+                               [&](const auto& value) { return value.first == held.first; });
+        };
+        if (!std::all_of(link.values.begin(), link.values.end(), keeps)) {
+            link.link->clear_session();
+            link.values.clear();
+            link.prepared.clear();
+        }
+        for (const auto& value : wanted) {
+            if (std::find(link.values.begin(), link.values.end(), value) == link.values.end()) {
+                link.link->set_value(value.first, value.second);
+            }
+        }
+        link.values = wanted;
+    }
+
+    // Sessions share one prepared statement a shape, whatever they call it.
+    static std::string prepare(connection& link, const statement_shape& shape) {
+        const auto found = link.prepared.find(shape);
+        if (found != link.prepared.end()) {
+            return found->second;
+        }
+        const std::string name = "s" + std::to_string(link.prepared.size() + 1);
+        link.link->prepare(name, shape);
+        link.prepared.emplace(shape, name);
+        return name;
+    }
+
+    void finish(const std::shared_ptr<connection>& link, const statement_answer& answer,
+                bool ends) {
+        const time_point now = event_loop::now();
+        stop_running(*link);
+        link->used = now;
+        if (answer.result == upstream_result::unknown_name) {
+            link->prepared.clear();
+        }
+        const bool done = answer.result == upstream_result::done;
+        if (done || answer.result == upstream_result::failed) {
+            hear();
+            learn_work_time(now - link->started);
+        }
+        if (link->transaction && (ends || !done)) {
+            finish_transaction(*link, !done);
+        }
+        if (auto answered = std::exchange(link->answered, nullptr)) {
+            answered(answer);
+        }
+        pump();
+    }
+
+    void finish_transaction(connection& link, bool roll_back) {
+        m_transactions.erase(*link.transaction);
+        link.transaction.reset();
+        link.used = event_loop::now();
+        if (roll_back && !link.gone) {
+            link.link->rollback();
+        }
+    }
+
+    void learn_work_time(duration taken) {
+        // An eighth of each new value: some twenty answers change the estimate fully.
+        m_work_time += (taken - m_work_time) / 8;
+    }
+
+    void expire(time_point now) {
+        for (auto& late : m_waiting.take_expired(now)) {
+            late.answered({upstream_result::overloaded, {}, {}, {}});
+        }
+        const auto links = m_links;
+        for (const auto& link : links) {
+            if (link->gone) {
+                continue;
+            }
+            const bool late = link->running && link->limit <= now;
+            const bool resting = link->transaction && !link->running &&
+                                 link->used + m_limits.transaction_idle <= now;
+            if (late) {
+                drop(*link);
+                ask();
+            } else if (resting) {
+                finish_transaction(*link, true);
+            }
+        }
+    }
+
+    void probe(time_point now, bool watch) {
+        if (m_asked && now - *m_asked >= m_limits.silence) {
+            m_asked.reset();
+            set_reachable(false);
+            if (m_control) {
+                m_control->close();
+            }
+            m_asked_last = now;
+            return;
+        }
+        const bool quiet = now - m_heard >= m_limits.idle_probe;
+        const bool waits_long = std::any_of(m_links.begin(), m_links.end(), [&](const auto& link) {
+            return link->running && now - link->started >= m_limits.silence;
+        });
+        const bool due = now - m_asked_last >= m_limits.idle_probe;
+        if (!m_asked && due && quiet && (watch || waits_long || !m_reachable)) {
+            ask();
+        }
+    }
+
+    void ask() {
+        if (m_asked) {
+            return;
+        }
+        m_asked = event_loop::now();
+        m_asked_last = *m_asked;
+        order(replication_order::report, 0,
+              [this](const std::optional<replication_status>& status) {
+                  // Refused at once: nothing listens there, which needs no waiting for a time
+                  // limit.
+                  if (!status && m_asked) {
+                      m_asked.reset();
+                      set_reachable(false);
+                  }
+              });
+    }
+
+    Link& control_link() {
+        if (m_control && !m_control_gone) {
+            return *m_control;
+        }
+        m_control_gone = false;
+        // An instance that takes no more connections lives all the same.
+        const auto opened = [this](upstream_result result) {
+            if (result == upstream_result::no_connection) {
+                hear();
+            }
+        };
+        m_control = std::make_unique<Link>(m_loop, m_instance, std::string(control_workspace),
+                                           opened, [this] { m_control_gone = true; });
+        return *m_control;
+    }
+
+    static constexpr std::string_view control_workspace = "bronzeplank";
+
+    event_loop& m_loop;
+    upstream_instance m_instance;
+    lane_limits m_limits;
+    primary_proof m_prove;
+    work_queue<waiting_work> m_waiting;
+    std::list<std::shared_ptr<connection>> m_links;
+    std::map<transaction_key, std::shared_ptr<connection>> m_transactions;
+    std::unique_ptr<Link> m_control;
+    bool m_control_gone = false;
+    bool m_reachable = true;
+    bool m_pumping = false;
+    int m_running = 0;
+    std::uint64_t m_opened = 0;
+    duration m_work_time = std::chrono::milliseconds(15);
+    time_point m_heard{};
+    time_point m_used{};
+    time_point m_asked_last{};
+    std::optional<time_point> m_asked;
+};
+
+} // namespace bronzeplank
--- /dev/null
+++ b/src/session/upstream_router.cpp
@@ -0,0 +1,249 @@
+#include "session/upstream_router.hpp"
+
+#include "bronzeplank/gateway_order.hpp"
+
+#include <algorithm>
+
+namespace bronzeplank {
+
+upstream_router::upstream_router(std::string host, std::string failure_domain,
+                                 fleet_directory& directory)
+    : m_host(std::move(host)), m_failure_domain(std::move(failure_domain)), m_directory(directory) {
+}
+
+void upstream_router::connect(fleet& peers, local_gateway gateway) {
+    m_fleet = &peers;
+    m_gateway = std::move(gateway);
+}
+
+std::string upstream_router::gateway_of(const upstream_instance& instance) const {
+    std::vector<gateway_candidate> candidates;
+    const auto own = m_gateway.state(instance.id);
+    candidates.push_back({m_host, m_failure_domain, own && !own->reachable});
+    for (const fleet_peer* peer : m_fleet->live(event_loop::now())) {
+        if (!peer->leaving) {
+            const auto lane = peer->lanes.find(instance.id);
+            const bool cut_off = lane != peer->lanes.end() && !lane->second.reachable;
+            candidates.push_back({peer->host, peer->failure_domain, cut_off});
+        }
+    }
+    return order_gateways(instance.id, instance.failure_domain, candidates).front();
+}
+
+void upstream_router::run(const std::string& host, const upstream_work& work,
+                          answer_handler answered) {
+    if (host == m_host) {
+        m_gateway.run(work, std::move(answered));
+    } else {
+        m_fleet->run(host, work, std::move(answered));
+    }
+}
+
+void upstream_router::end_transaction(const std::string& host, const std::string& instance,
+                                      const transaction_key& key) {
+    if (host == m_host) {
+        m_gateway.end_transaction(instance, key);
+    } else {
+        m_fleet->end_transaction(host, instance, key);
+    }
+}
+
+void upstream_router::order(const std::string& instance, replication_order what, std::uint64_t term,
+                            status_handler reported) {
+    const upstream_instance* listed = m_directory.instance(instance);
+    if (listed == nullptr) {
+        reported(std::nullopt);
+        return;
+    }
+    auto learning = [this, instance, reported = std::move(reported)](
+                        const std::optional<replication_status>& status) {
+        if (status) {
+            learn(instance, *status);
+        }
+        reported(status);
+    };
+    const std::string host = gateway_of(*listed);
+    if (host == m_host) {
+        m_gateway.order(instance, what, term, std::move(learning));
+    } else {
+        m_fleet->order(host, instance, what, term, std::move(learning));
+    }
+}
+
+void upstream_router::learn(const std::string& instance, const replication_status& status) {
+    const upstream_instance* listed = m_directory.instance(instance);
+    if (listed == nullptr) {
+        return;
+    }
+    primary_belief& belief = m_directory.belief(listed->group);
+    if (status.role == replication_role::primary) {
+        belief.learn(instance, status.term);
+    } else {
+        belief.unlearn(instance, status.term);
+    }
+}
+
+void upstream_router::sample(const std::string& group, sample_handler sampled) {
+    const auto primary = m_directory.primary(group);
+    const upstream_instance* listed = primary ? m_directory.instance(primary->instance) : nullptr;
+    if (listed == nullptr) {
+        sampled(std::nullopt);
+        return;
+    }
+    const std::string host = gateway_of(*listed);
+    if (host == m_host) {
+        sample_here(group, std::move(sampled));
+    } else {
+        m_fleet->sample(host, group, std::move(sampled));
+    }
+}
+
+void upstream_router::sample_here(const std::string& group, sample_handler sampled) {
+    const auto primary = m_directory.primary(group);
+    if (!primary) {
+        sampled(std::nullopt);
+        return;
+    }
+    struct parts {
+        std::optional<bool> proved;
+        bool asked = false;
+        std::optional<log_position> position;
+        sample_handler sampled;
+
+        void deliver_if_whole() const {
+            if (proved && asked) {
+                sampled(*proved ? position : std::nullopt);
+            }
+        }
+    };
+    auto whole = std::make_shared<parts>();
+    whole->sampled = std::move(sampled);
+    order(primary->instance, replication_order::report, 0,
+          [whole](const std::optional<replication_status>& status) {
+              whole->asked = true;
+              if (status && status->role == replication_role::primary) {
+                  whole->position = status->received;
+              }
+              whole->deliver_if_whole();
+          });
+    prove(group, primary->instance, [whole](bool proved) {
+        whole->proved = proved;
+        whole->deliver_if_whole();
+    });
+}
+
+std::vector<std::string> upstream_router::witnesses(const std::string& group,
+                                                    const std::string& primary) const {
+    std::vector<std::string> found;
+    for (const auto& [id, instance] : m_directory.instances()) {
+        if (instance.group == group && id != primary) {
+            found.push_back(id);
+        }
+    }
+    const auto prefer = [this](const std::string& id) {
+        const upstream_instance* listed = m_directory.instance(id);
+        return std::pair(!state_of(*listed).reachable, listed->failure_domain != m_failure_domain);
+    };
+    std::stable_sort(found.begin(), found.end(), [&](const auto& left, const auto& right) {
+        return prefer(left) < prefer(right);
+    });
+    return found;
+}
+
+void upstream_router::prove(const std::string& group, const std::string& instance,
+                            std::function<void(bool)> proved) {
+    const auto primary = m_directory.primary(group);
+    if (!primary || primary->instance != instance) {
+        proved(false);
+        return;
+    }
+    proof_round& round = m_rounds[group];
+    round.waiting.push_back(std::move(proved));
+    if (!round.running) {
+        start_round(group, instance);
+    }
+}
+
+void upstream_router::start_round(const std::string& group, const std::string& instance) {
+    proof_round& round = m_rounds[group];
+    round.running = true;
+    auto asking = std::exchange(round.waiting, {});
+    ask_witness(group, instance, witnesses(group, instance),
+                [this, group, asking = std::move(asking)](bool proved) {
+                    for (const auto& done : asking) {
+                        done(proved);
+                    }
+                    proof_round& finished = m_rounds[group];
+                    finished.running = false;
+                    const auto primary = m_directory.primary(group);
+                    if (!finished.waiting.empty()) {
+                        start_round(group, primary ? primary->instance : "");
+                    }
+                });
+}
+
+void upstream_router::ask_witness(const std::string& group, const std::string& instance,
+                                  std::vector<std::string> witnesses,
+                                  std::function<void(bool)> proved) {
+    const auto primary = m_directory.primary(group);
+    if (!primary || primary->instance != instance) {
+        proved(false);
+        return;
+    }
+    if (witnesses.empty()) {
+        // A group of one instance has nobody else to promote.
+        const bool alone = std::none_of(
+            m_directory.instances().begin(), m_directory.instances().end(), [&](const auto& entry) {
+                return entry.second.group == group && entry.first != instance;
+            });
+        proved(alone);
+        return;
+    }
+    const std::string witness = witnesses.front();
+    witnesses.erase(witnesses.begin());
+    order(witness, replication_order::report, 0,
+          [this, group, instance, witnesses = std::move(witnesses),
+           proved = std::move(proved)](const std::optional<replication_status>& status) mutable {
+              const auto now_primary = m_directory.primary(group);
+              const std::uint64_t term =
+                  now_primary && now_primary->instance == instance ? now_primary->term : 0;
+              if (!status) {
+                  ask_witness(group, instance, std::move(witnesses), std::move(proved));
+                  return;
+              }
+              // Term 0 stands for a primary that only the list names: its term is asked with the
+              // next sample, and until then only a witness that nobody ever paused counts.
+              const bool follows = status->role == replication_role::replica &&
+                                   (term == 0 || status->term <= term) &&
+                                   (status->paused_by == 0 || status->paused_by <= term);
+              proved(follows && now_primary && now_primary->instance == instance);
+          });
+}
+
+lane_state upstream_router::state_of(const upstream_instance& instance) const {
+    const std::string host = gateway_of(instance);
+    if (host == m_host) {
+        return m_gateway.state(instance.id).value_or(lane_state{});
+    }
+    const fleet_peer* peer = m_fleet->find(host);
+    if (peer == nullptr) {
+        return {};
+    }
+    const auto found = peer->lanes.find(instance.id);
+    return found == peer->lanes.end() ? lane_state{} : found->second;
+}
+
+upstream_router::reach_votes upstream_router::votes_on(const std::string& instance) const {
+    reach_votes votes;
+    const auto own = m_gateway.state(instance);
+    votes.hosts = 1;
+    votes.cut_off = own && !own->reachable ? 1 : 0;
+    for (const fleet_peer* peer : m_fleet->live(event_loop::now())) {
+        ++votes.hosts;
+        const auto lane = peer->lanes.find(instance);
+        votes.cut_off += lane != peer->lanes.end() && !lane->second.reachable ? 1 : 0;
+    }
+    return votes;
+}
+
+} // namespace bronzeplank
--- /dev/null
+++ b/src/session/upstream_router.hpp
@@ -0,0 +1,95 @@
+/// \file
+/// The way to an instance: through its gateway, here or on another host.
+#pragma once
+
+#include "session/fleet.hpp"
+#include "session/fleet_directory.hpp"
+#include "session/upstream_work.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bronzeplank {
+
+/// What the router needs of this host's own gateway.
+struct local_gateway {
+    std::function<void(upstream_work, answer_handler)> run;
+    std::function<void(const std::string&, const transaction_key&)> end_transaction;
+    std::function<void(const std::string&, replication_order, std::uint64_t, status_handler)> order;
+    /// Nothing when this host has no lane to the instance.
+    std::function<std::optional<lane_state>(const std::string&)> state;
+};
+
+/// Finds the gateway of each instance, and proves who is primary.
+///
+/// The proof: before an instance is promoted, every replica that can be reached is paused with
+/// the new term, and stays so until it follows the new primary. So a replica that, asked after
+/// the question arose, follows a term no newer than the primary's and isn't paused, shows that
+/// no later primary had acknowledged anything when the question arose. One answer serves all
+/// questions that arose before it was asked.
+class upstream_router {
+public:
+    upstream_router(std::string host, std::string failure_domain, fleet_directory& directory);
+
+    /// Must be called before anything else; the router, the fleet and the gateway need each other.
+    void connect(fleet& peers, local_gateway gateway);
+
+    /// The host that serves the instance now; this host's own name when no other can.
+    std::string gateway_of(const upstream_instance& instance) const;
+
+    /// Runs the work through the given host.
+    void run(const std::string& host, const upstream_work& work, answer_handler answered);
+    void end_transaction(const std::string& host, const std::string& instance,
+                         const transaction_key& key);
+
+    /// Asks or orders an instance through its gateway, and learns from what it says.
+    void order(const std::string& instance, replication_order what, std::uint64_t term,
+               status_handler reported);
+
+    /// A position of the group's primary, proved, and younger than the call.
+    void sample(const std::string& group, sample_handler sampled);
+
+    /// As sample(), but asked by this host itself: for the primary's gateway.
+    void sample_here(const std::string& group, sample_handler sampled);
+
+    /// Proves that the instance is the group's primary at some time after the call.
+    void prove(const std::string& group, const std::string& instance,
+               std::function<void(bool)> proved);
+
+    /// What is known of an instance: its gateway's word, or this host's own.
+    lane_state state_of(const upstream_instance& instance) const;
+
+    /// How many living hosts, this one included, can't reach the instance, and how many there are.
+    struct reach_votes {
+        int cut_off = 0;
+        int hosts = 0;
+    };
+    reach_votes votes_on(const std::string& instance) const;
+
+    const std::string& host() const { return m_host; }
+    const std::string& failure_domain() const { return m_failure_domain; }
+
+private:
+    struct proof_round {
+        bool running = false;
+        std::vector<std::function<void(bool)>> waiting;
+    };
+
+    void start_round(const std::string& group, const std::string& instance);
+    void ask_witness(const std::string& group, const std::string& instance,
+                     std::vector<std::string> witnesses, std::function<void(bool)> proved);
+    void learn(const std::string& instance, const replication_status& status);
+    std::vector<std::string> witnesses(const std::string& group, const std::string& primary) const;
+
+    std::string m_host;
+    std::string m_failure_domain;
+    fleet_directory& m_directory;
+    fleet* m_fleet = nullptr;
+    local_gateway m_gateway;
+    std::map<std::string, proof_round> m_rounds;
+};
+
+} // namespace bronzeplank
