--- a/include/bronzeplank/statement.hpp
+++ b/include/bronzeplank/statement.hpp
@@ -110,7 +110,8 @@
     auto operator<=>(const replication_status&) const = default;
 };
 
-/// Orders that change an instance's place in the replication.
-enum class replication_order { report, pause, resume, demote };
+/// Orders that change an instance's place in the replication. `hold` is for its gateway: it
+/// starts no new writes for a while, and answers with the instance's report when none runs.
+enum class replication_order { report, pause, resume, demote, hold };
 
 } // namespace bronzeplank
--- /dev/null
+++ b/include/bronzeplank/takeover.hpp
@@ -0,0 +1,89 @@
+/// \file
+/// When a group's primary is replaced, and by which instance.
+#pragma once
+
+#include "bronzeplank/statement.hpp"
+#include "bronzeplank/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bronzeplank {
+
+enum class takeover_reason {
+    none,
+    /// Most hosts can't reach the primary, this one included.
+    unreachable,
+    /// The primary answers, but its commits do not end: it can't reach its replicas.
+    stalled,
+    /// The primary will stop, or its failure domain has been withdrawn.
+    leaving,
+    /// The list has no primary for the group.
+    missing
+};
+
+std::string_view to_string(takeover_reason reason);
+
+/// What a host knows of its group's primary.
+struct takeover_evidence {
+    bool listed = true;
+    bool leaving = false;
+    /// The primary's gateway has had a write without an answer for too long.
+    bool stalled = false;
+    /// This host can't reach the primary.
+    bool cut_off_here = false;
+    /// Living hosts that can't reach it, and all of them, this one included.
+    int cut_off = 0;
+    int hosts = 1;
+    bool operator==(const takeover_evidence&) const = default;
+};
+
+/// One host or one domain that is cut off replaces nobody: more than half of the living hosts
+/// must agree.
+takeover_reason why_take_over(const takeover_evidence& evidence);
+
+/// A replica's answer to the order that stops it from receiving.
+struct paused_replica {
+    std::string instance;
+    replication_status status;
+    /// It will stay, and its failure domain is in use.
+    bool stays = true;
+    bool operator==(const paused_replica&) const = default;
+};
+
+/// What decides who is promoted.
+struct takeover_choice {
+    std::vector<paused_replica> answered;
+    /// Listed replicas that have not answered.
+    std::size_t silent = 0;
+    /// The newest commit that any living host knows to be acknowledged.
+    log_position acknowledged;
+    /// Waiting for silent replicas is over.
+    bool patience_over = false;
+};
+
+/// The replica to promote: one that stays, if it has received as much as any, or else the one
+/// that has received most. Nothing while a silent replica may hold an acknowledged commit that
+/// no other has.
+std::optional<std::string> choose_successor(const takeover_choice& choice);
+
+/// What is agreed on a group: the highest term claimed, by whom, and whether it has its primary.
+/// The platform's revision of the claim is its fencing token.
+struct takeover_claim {
+    std::uint64_t term = 0;
+    std::string holder;
+    std::string successor;
+    bool finished = true;
+    bool operator==(const takeover_claim&) const = default;
+};
+
+/// A claim's holder acts for this long after it has sent the claim, and no longer.
+constexpr std::chrono::milliseconds claim_lease{2000};
+/// Others leave an unfinished claim alone for this long after they first saw it: the lease, and
+/// the time that an order of the holder may have been on its way.
+constexpr std::chrono::milliseconds claim_respected{3000};
+
+} // namespace bronzeplank
--- /dev/null
+++ b/src/core/takeover.cpp
@@ -0,0 +1,43 @@
+#include "bronzeplank/takeover.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace bronzeplank {
+
+std::string_view to_string(takeover_reason reason) {
+    static constexpr std::array<std::string_view, 5> names{"none", "unreachable", "stalled",
+                                                           "leaving", "missing"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+takeover_reason why_take_over(const takeover_evidence& evidence) {
+    if (!evidence.listed) {
+        return takeover_reason::missing;
+    }
+    if (evidence.cut_off_here && 2 * evidence.cut_off > evidence.hosts) {
+        return takeover_reason::unreachable;
+    }
+    if (evidence.stalled) {
+        return takeover_reason::stalled;
+    }
+    return evidence.leaving ? takeover_reason::leaving : takeover_reason::none;
+}
+
+std::optional<std::string> choose_successor(const takeover_choice& choice) {
+    const auto received = [](const paused_replica& replica) { return replica.status.received; };
+    const auto best = std::max_element(choice.answered.begin(), choice.answered.end(),
+                                       [&](const auto& left, const auto& right) {
+                                           return std::pair(received(left), left.stays) <
+                                                  std::pair(received(right), right.stays);
+                                       });
+    if (best == choice.answered.end() || received(*best) < choice.acknowledged) {
+        return std::nullopt;
+    }
+    if (choice.silent > 0 && !choice.patience_over) {
+        return std::nullopt;
+    }
+    return best->instance;
+}
+
+} // namespace bronzeplank
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -214,6 +214,7 @@
     work.values.assign(m_values.begin(), m_values.end());
     work.at_least = target.at_least;
     work.strict = target.strict && !m_operation.place;
+    work.read_only_work = m_operation.read_only;
     work.priority = m_operation.route.priority;
     work.objective_left = std::max<duration>(m_operation.route.objective - elapsed(), duration(0));
     work.time_left = m_operation.route.statement_timeout - elapsed();
@@ -256,6 +257,14 @@
     const bool in_time = elapsed() * patience_divisor < m_operation.route.objective;
     const bool at_primary =
         must_write() || m_operation.route.consistency == read_consistency::strict;
+    // Work that was given back by an instance that lost the lead goes on to the new primary.
+    if (result == upstream_result::not_primary && at_primary && m_attempt.tries < most_tries) {
+        const auto successor = choose_target();
+        if (successor && successor->instance != target.instance) {
+            send(*successor);
+            return;
+        }
+    }
     if (!in_time || m_attempt.tries >= most_tries) {
         give_up(result);
         return;
@@ -327,6 +336,7 @@
         // Positions of a read that wrote nothing do no harm, but would tie reads to fresh replicas.
         if (must_write() && answer.position != log_position{}) {
             m_written = std::max(m_written.value_or(log_position{}), answer.position);
+            m_service.note_acknowledged(m_operation.route.group, answer.position);
         }
         m_state = session_state::idle;
         m_operation.place.reset();
--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -44,6 +44,7 @@
     into.set_transaction(work.transaction ? work.transaction->number : 0);
     into.set_opens_transaction(work.opens_transaction);
     into.set_read_only_transaction(work.read_only_transaction);
+    into.set_read_only_work(work.read_only_work);
     into.set_strict(work.strict);
     into.set_priority(work.priority);
     into.set_objective_left_us(work.objective_left.count());
@@ -71,6 +72,7 @@
     }
     work.opens_transaction = message.opens_transaction();
     work.read_only_transaction = message.read_only_transaction();
+    work.read_only_work = message.read_only_work();
     work.strict = message.strict();
     work.priority = message.priority();
     work.objective_left = duration(message.objective_left_us());
@@ -307,12 +309,17 @@
     peer.lanes.clear();
     for (const auto& lane : beat.lanes()) {
         peer.lanes[lane.instance()] = {lane.reachable(),
-                                       duration(static_cast<std::int64_t>(lane.wait_us()))};
+                                       duration(static_cast<std::int64_t>(lane.wait_us())),
+                                       lane.stalled()};
     }
     peer.demands.clear();
     for (const auto& demand : beat.demands()) {
         peer.demands[demand.workspace()] = demand.per_second();
     }
+    peer.acknowledged.clear();
+    for (const auto& newest : beat.acknowledged()) {
+        peer.acknowledged[newest.group()] = {newest.term(), newest.offset()};
+    }
     for (const auto& primary : beat.primaries()) {
         m_services.learn_primary(primary.group(), {primary.instance(), primary.term()});
     }
@@ -393,6 +400,7 @@
         auto* lane = beat->add_lanes();
         lane->set_instance(instance);
         lane->set_reachable(state.reachable);
+        lane->set_stalled(state.stalled);
         lane->set_wait_us(
             static_cast<std::uint64_t>(std::max<duration::rep>(0, state.wait.count())));
     }
@@ -407,6 +415,12 @@
         view->set_instance(primary.instance);
         view->set_term(primary.term);
     }
+    for (const auto& [group, position] : m_services.acknowledged()) {
+        auto* newest = beat->add_acknowledged();
+        newest->set_group(group);
+        newest->set_term(position.term);
+        newest->set_offset(position.offset);
+    }
     for (const auto& [address, host] : addresses()) {
         m_bus.send(address, message);
     }
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -23,6 +23,8 @@
 struct lane_state {
     bool reachable = true;
     duration wait{};
+    /// A write has run there for much longer than any should.
+    bool stalled = false;
     bool operator==(const lane_state&) const = default;
 };
 
@@ -37,6 +39,8 @@
     std::map<std::string, lane_state, std::less<>> lanes;
     /// Operations a second, by workspace.
     std::map<std::string, double, std::less<>> demands;
+    /// The newest commit that the peer has acknowledged to a caller, by group.
+    std::map<std::string, log_position, std::less<>> acknowledged;
 };
 
 /// What this host does for others, and tells them.
@@ -48,6 +52,7 @@
     std::function<std::map<std::string, lane_state, std::less<>>()> lanes;
     std::function<std::map<std::string, double>()> demands;
     std::function<std::map<std::string, known_primary>()> primaries;
+    std::function<std::map<std::string, log_position>()> acknowledged;
     std::function<void(const std::string&, const known_primary&)> learn_primary;
 };
 
--- a/src/session/gateway.hpp
+++ b/src/session/gateway.hpp
@@ -19,12 +19,13 @@
 public:
     /// \param find the present entry of an instance; null when it isn't listed
     /// \param limits the limits of a lane to the instance
+    /// \param is_primary whether the instance is its group's primary
     /// \param watched whether this host watches the instance although it has no work there
     struct environment {
         std::function<const upstream_instance*(const std::string&)> find;
         std::function<lane_limits(const upstream_instance&)> limits;
         std::function<bool(const std::string&)> watched;
-        std::function<bool(const std::string&)> preferred;
+        std::function<bool(const std::string&)> is_primary;
         primary_proof prove;
         /// An instance became reachable or not.
         std::function<void()> reach_changed;
@@ -56,7 +57,11 @@
             reported(std::nullopt);
             return;
         }
-        lane->order(what, term, std::move(reported));
+        if (what == replication_order::hold) {
+            lane->hold_writes(std::move(reported));
+        } else {
+            lane->order(what, term, std::move(reported));
+        }
     }
 
     /// Calls `visit(lane)` for each lane.
@@ -97,7 +102,7 @@
 private:
     // Coarse enough to cost little, fine enough for time limits of some hundred milliseconds.
     static constexpr std::chrono::milliseconds tick_period{25};
-    // A lane that nothing used for this long is closed, unless it is preferred or watched.
+    // A lane that nothing used for this long is closed, unless it is watched.
     static constexpr std::chrono::seconds unused_lane{2};
 
     upstream_lane<Link>* lane_of(const std::string& id) {
@@ -139,6 +144,9 @@
             }
             const bool reachable = lane.reachable();
             lane.update(*listed);
+            if (!m_around.is_primary(place->first)) {
+                lane.release_writes();
+            }
             lane.tick(now, m_around.watched(place->first));
             changed |= reachable != lane.reachable();
             ++place;
--- a/src/session/session_service.hpp
+++ b/src/session/session_service.hpp
@@ -56,6 +56,9 @@
     void end_transaction(const statement_target& target, const transaction_key& key);
     transaction_key new_transaction();
 
+    /// Called with the position of each commit that a caller learns of.
+    std::function<void(const std::string& group, const log_position&)> note_acknowledged;
+
     event_loop& loop() { return m_loop; }
     /// Operations a second by workspace, for the other hosts.
     std::map<std::string, double> demands() const;
--- a/src/session/upstream_lane.hpp
+++ b/src/session/upstream_lane.hpp
@@ -114,11 +114,38 @@
                              });
     }
 
+    /// Starts no new writes for `hold_limit`, and reports when none runs any more.
+    void hold_writes(status_handler reported) {
+        m_held_until = event_loop::now() + hold_limit;
+        m_when_held = std::move(reported);
+        report_when_held();
+    }
+
+    /// The instance is not the primary any more: writes that wait are given back.
+    void release_writes() {
+        m_held_until = time_point{};
+        std::vector<waiting_work> kept_back;
+        const auto writes = [](const waiting_work& next) {
+            return !next.work.read_only_work;
+        };
+        while (auto next = m_waiting.pop(event_loop::now(), writes)) {
+            kept_back.push_back(std::move(*next));
+        }
+        for (auto& next : kept_back) {
+            next.answered({upstream_result::not_primary, {}, {}, {}});
+        }
+    }
+
+    /// Whether a write has run for much longer than any should.
+    bool stalled() const { return event_loop::now() < m_stalled_until; }
+
     /// Probes, time limits, idle transactions; called some fifty times a second while in use.
     /// \param watch whether the instance is to be probed while nothing else asks it
     void tick(time_point now, bool watch) {
         expire(now);
         probe(now, watch);
+        report_when_held();
+        notice_stall(now);
         std::erase_if(m_links, [](const auto& link) { return link->gone; });
         if (m_control && m_control_gone) {
             m_control.reset();
@@ -163,6 +190,16 @@
     }
 
 private:
+    // A switch to another primary takes less than this; afterwards writes go on as before.
+    static constexpr std::chrono::milliseconds hold_limit{1500};
+    // What still runs after this does not end soon.
+    static constexpr std::chrono::milliseconds drain_patience{250};
+    // Several times what a commit takes on a full instance.
+    static constexpr std::chrono::milliseconds stall{600};
+
+    // Longer than a statement's time limit, after which the next write has to show it anew.
+    static constexpr std::chrono::milliseconds stall_remembered{1500};
+
     struct waiting_work {
         upstream_work work;
         answer_handler answered;
@@ -177,6 +214,8 @@
         std::optional<transaction_key> transaction;
         bool ready = false;
         bool running = false;
+        /// What runs changes data, or commits changes.
+        bool writing = false;
         bool gone = false;
         time_point used;
         time_point started;
@@ -221,6 +260,29 @@
         };
     }
 
+    void report_when_held() {
+        if (!m_when_held) {
+            return;
+        }
+        const time_point now = event_loop::now();
+        const bool writing = std::any_of(m_links.begin(), m_links.end(), [](const auto& link) {
+            return !link->gone && (link->transaction || (link->running && link->writing));
+        });
+        const bool patience_over = now >= m_held_until - hold_limit + drain_patience;
+        if (!writing || patience_over) {
+            order(replication_order::report, 0, std::exchange(m_when_held, nullptr));
+        }
+    }
+
+    void notice_stall(time_point now) {
+        const bool stalls = std::any_of(m_links.begin(), m_links.end(), [&](const auto& link) {
+            return link->running && link->writing && now - link->started >= stall;
+        });
+        if (stalls) {
+            m_stalled_until = now + stall_remembered;
+        }
+    }
+
     void hear() {
         m_heard = event_loop::now();
         m_asked.reset();
@@ -264,7 +326,11 @@
         }
         m_pumping = true;
         while (m_running <= m_instance.slots) {
-            const auto usable = [this](const waiting_work& next) {
+            const bool held = event_loop::now() < m_held_until;
+            const auto usable = [this, held](const waiting_work& next) {
+                if (held && !next.work.read_only_work) {
+                    return false;
+                }
                 return idle_link(next.work.workspace) != nullptr || may_open();
             };
             auto next = m_waiting.pop(event_loop::now(), usable);
@@ -403,6 +469,7 @@
         link->started = now;
         link->used = now;
         link->limit = now + work.work.time_left;
+        link->writing = !work.work.read_only_work && work.work.what.kind != statement_kind::read;
         link->answered = work.work.strict ? with_proof(work.work.group, std::move(work.answered))
                                           : std::move(work.answered);
         apply_values(*link, work.work.values);
@@ -479,6 +546,9 @@
             link->prepared.clear();
         }
         const bool done = answer.result == upstream_result::done;
+        if (done && link->writing) {
+            m_stalled_until = time_point{};
+        }
         if (done || answer.result == upstream_result::failed) {
             hear();
             learn_work_time(now - link->started);
@@ -600,6 +670,9 @@
     time_point m_used{};
     time_point m_asked_last{};
     std::optional<time_point> m_asked;
+    time_point m_held_until{};
+    time_point m_stalled_until{};
+    status_handler m_when_held;
 };
 
 } // namespace bronzeplank
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -237,7 +237,8 @@
     reach_votes votes;
     const auto own = m_gateway.state(instance);
     votes.hosts = 1;
-    votes.cut_off = own && !own->reachable ? 1 : 0;
+    votes.cut_off_here = own && !own->reachable;
+    votes.cut_off = votes.cut_off_here ? 1 : 0;
     for (const fleet_peer* peer : m_fleet->live(event_loop::now())) {
         ++votes.hosts;
         const auto lane = peer->lanes.find(instance);
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -66,6 +66,7 @@
     struct reach_votes {
         int cut_off = 0;
         int hosts = 0;
+        bool cut_off_here = false;
     };
     reach_votes votes_on(const std::string& instance) const;
 
--- a/src/session/upstream_work.hpp
+++ b/src/session/upstream_work.hpp
@@ -34,6 +34,8 @@
     /// The transaction begins with this statement.
     bool opens_transaction = false;
     bool read_only_transaction = false;
+    /// Neither the statement nor its transaction changes data.
+    bool read_only_work = false;
     /// The instance must be proved to be the primary at some time after the work arrived.
     bool strict = false;
     int priority = 0;
