A full instance's work waits for own connections; one gateway at a time holds them

Change: work whose opening was refused waits for one of the lane's own connections; a host that is no longer the gateway closes idle ones; a stopping host is nobody's gateway; limits need no configuration; lanes follow changes of their limits.

--- a/src/session/gateway.hpp
+++ b/src/session/gateway.hpp
@@ -95,7 +95,7 @@
     /// Closes every connection, as when the process was suspended: what it held is void.
     void close_all() {
         for (auto& [id, lane] : m_lanes) {
-            lane->close("suspended");
+            lane->close();
         }
     }
 
@@ -138,12 +138,16 @@
                 m_around.watched(place->first) || lane.busy() || now - lane.used() < unused_lane;
             if (listed == nullptr || moved || !needed) {
                 m_opened_before += lane.opened();
-                lane.close("unused");
+                lane.close();
                 place = m_lanes.erase(place);
                 continue;
             }
             const bool reachable = lane.reachable();
-            lane.update(*listed);
+            lane.update(*listed, m_around.limits(*listed));
+            if (!m_around.watched(place->first)) {
+                // Another host is the gateway now and needs the connections.
+                lane.close_idle();
+            }
             if (!m_around.is_primary(place->first)) {
                 lane.release_writes();
             }
--- a/src/session/upstream_lane.hpp
+++ b/src/session/upstream_lane.hpp
@@ -64,7 +64,8 @@
         : m_loop(loop), m_instance(std::move(instance)), m_limits(limits),
           m_prove(std::move(prove)), m_waiting(limits.waiting) {}
 
-    ~upstream_lane() { close("gateway stopped"); }
+    /// Answers nothing any more: who asked may be gone already. close() comes before otherwise.
+    ~upstream_lane() = default;
     upstream_lane(const upstream_lane&) = delete;
     upstream_lane& operator=(const upstream_lane&) = delete;
 
@@ -85,7 +86,7 @@
             answered({upstream_result::overloaded, {}, {}, {}});
             return;
         }
-        m_waiting.push({std::move(work), std::move(answered), now}, urgency);
+        m_waiting.push({std::move(work), std::move(answered), urgency}, urgency);
         pump();
     }
 
@@ -125,9 +126,7 @@
     void release_writes() {
         m_held_until = time_point{};
         std::vector<waiting_work> kept_back;
-        const auto writes = [](const waiting_work& next) {
-            return !next.work.read_only_work;
-        };
+        const auto writes = [](const waiting_work& next) { return !next.work.read_only_work; };
         while (auto next = m_waiting.pop(event_loop::now(), writes)) {
             kept_back.push_back(std::move(*next));
         }
@@ -154,8 +153,11 @@
     }
 
     const upstream_instance& instance() const { return m_instance; }
-    /// Takes over what changed in the list, such as a state or the number of slots.
-    void update(const upstream_instance& instance) { m_instance = instance; }
+    /// Takes over what changed, such as a state, the number of slots, or who is the gateway.
+    void update(const upstream_instance& instance, const lane_limits& limits) {
+        m_instance = instance;
+        m_limits = limits;
+    }
     bool reachable() const { return m_reachable; }
     bool busy() const { return m_running > 0 || m_waiting.size() > 0 || !m_transactions.empty(); }
     time_point used() const { return m_used; }
@@ -170,7 +172,7 @@
     }
 
     /// Closes all connections; running work gets `unanswered`, waiting work `unsent`.
-    void close(std::string_view) {
+    void close() {
         for (auto& link : m_links) {
             drop(*link);
         }
@@ -197,13 +199,15 @@
     // Several times what a commit takes on a full instance.
     static constexpr std::chrono::milliseconds stall{600};
 
+    // An instance that takes no more connections is not asked for one in this time.
+    static constexpr std::chrono::milliseconds full_remembered{100};
     // Longer than a statement's time limit, after which the next write has to show it anew.
     static constexpr std::chrono::milliseconds stall_remembered{1500};
 
     struct waiting_work {
         upstream_work work;
         answer_handler answered;
-        time_point arrived;
+        work_urgency urgency;
     };
 
     struct connection {
@@ -317,7 +321,7 @@
             answered({upstream_result::unsent, {}, {}, {}});
             return;
         }
-        start(found->second, {std::move(work), std::move(answered), event_loop::now()});
+        start(found->second, {std::move(work), std::move(answered), {}});
     }
 
     void pump() {
@@ -374,10 +378,15 @@
                                               [](const auto& link) { return !link->gone; }));
     }
 
-    bool may_open() { return open_links() + 1 < m_limits.connections || least_used() != nullptr; }
+    // One connection is kept for questions about the instance itself.
+    bool has_room() const {
+        return open_links() + 1 < m_limits.connections && event_loop::now() >= m_full_until;
+    }
+
+    bool may_open() { return has_room() || least_used() != nullptr; }
 
     void open(waiting_work work) {
-        if (open_links() + 1 >= m_limits.connections) {
+        if (!has_room()) {
             drop(*least_used());
         }
         const time_point now = event_loop::now();
@@ -408,7 +417,7 @@
         if (result != upstream_result::done) {
             link->gone = true;
             log_refused_connection(*link, result);
-            work.answered({result, {}, {}, {}});
+            refuse_or_wait(std::move(work), result);
             pump();
             return;
         }
@@ -417,6 +426,17 @@
         start(link, std::move(work));
     }
 
+    // Other hosts hold what the instance has left: the work waits for one of this lane's own.
+    void refuse_or_wait(waiting_work work, upstream_result result) {
+        if (result != upstream_result::no_connection || open_links() == 0) {
+            work.answered({result, {}, {}, {}});
+            return;
+        }
+        m_full_until = event_loop::now() + full_remembered;
+        const work_urgency urgency = work.urgency;
+        m_waiting.push(std::move(work), urgency);
+    }
+
     void log_refused_connection(const connection& link, upstream_result result) {
         log(log_event::connection_refused, {{"instance", m_instance.id},
                                             {"workspace", link.workspace},
@@ -670,6 +690,7 @@
     time_point m_used{};
     time_point m_asked_last{};
     std::optional<time_point> m_asked;
+    time_point m_full_until{};
     time_point m_held_until{};
     time_point m_stalled_until{};
     status_handler m_when_held;
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -18,8 +18,6 @@
 
 std::string upstream_router::gateway_of(const upstream_instance& instance) const {
     std::vector<gateway_candidate> candidates;
-    const auto own = m_gateway.state(instance.id);
-    candidates.push_back({m_host, m_failure_domain, own && !own->reachable});
     for (const fleet_peer* peer : m_fleet->live(event_loop::now())) {
         if (!peer->leaving) {
             const auto lane = peer->lanes.find(instance.id);
@@ -27,6 +25,10 @@
             candidates.push_back({peer->host, peer->failure_domain, cut_off});
         }
     }
+    if (!m_leaving || candidates.empty()) {
+        const auto own = m_gateway.state(instance.id);
+        candidates.push_back({m_host, m_failure_domain, own && !own->reachable});
+    }
     return order_gateways(instance.id, instance.failure_domain, candidates).front();
 }
 
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -37,6 +37,9 @@
     /// Must be called before anything else; the router, the fleet and the gateway need each other.
     void connect(fleet& peers, local_gateway gateway);
 
+    /// This host stops: it is nobody's gateway any more, unless no other host lives.
+    void leave() { m_leaving = true; }
+
     /// The host that serves the instance now; this host's own name when no other can.
     std::string gateway_of(const upstream_instance& instance) const;
 
@@ -91,6 +94,7 @@
     fleet* m_fleet = nullptr;
     local_gateway m_gateway;
     std::map<std::string, proof_round> m_rounds;
+    bool m_leaving = false;
 };
 
 } // namespace bronzeplank
