A primary is proved only with a known term; a host that hears nobody spends its even part

Ruled out: a late pause (the witness reported term 2, unpaused). Change: the term is asked first; is pure and refuses term 0.

Change: hosts that hear each other divide only their part of all known hosts.

--- a/include/bronzeplank/primary_belief.hpp
+++ b/include/bronzeplank/primary_belief.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "bronzeplank/fleet_configuration.hpp"
+#include "bronzeplank/statement.hpp"
 
 #include <cstdint>
 #include <map>
@@ -18,6 +19,11 @@
     bool operator==(const known_primary&) const = default;
 };
 
+/// Whether a replica's report shows that nobody had led a term newer than the primary's when the
+/// report was asked for: the replica follows no newer term, and no claim of one has paused it.
+/// A primary whose term is not known (0) can't be confirmed.
+bool confirms(const replication_status& witness, const known_primary& primary);
+
 /// What is known of one group's primaries: by the list, by the instances themselves, by
 /// promotions that this or another host has ordered. The highest term wins; it never goes back
 /// to a lower one, except to none, when an instance has left the list.
--- a/src/core/demand_share.cpp
+++ b/src/core/demand_share.cpp
@@ -17,9 +17,10 @@
 
 } // namespace
 
-void demand_share::set_view(double others_demand, std::size_t hosts) {
+void demand_share::set_view(double others_demand, std::size_t heard, std::size_t known) {
     m_others = std::max(0.0, others_demand);
-    m_hosts = std::max<double>(1.0, static_cast<double>(hosts));
+    m_heard = std::max<double>(1.0, static_cast<double>(heard));
+    m_known = std::max<double>(m_heard, static_cast<double>(known));
 }
 
 double demand_share::demand(time_point now) const {
@@ -30,8 +31,8 @@
     const double own = demand(now);
     const double all = own + m_others;
     // Below one operation a second there is no demand to follow.
-    const double followed = all < 1.0 ? 1.0 / m_hosts : own / all;
-    return even / m_hosts + (1.0 - even) * followed;
+    const double followed = all < 1.0 ? 1.0 / m_heard : own / all;
+    return (even / m_heard + (1.0 - even) * followed) * m_heard / m_known;
 }
 
 bool demand_share::admit(time_point now, double rate_per_second, double burst) {
--- a/src/core/primary_belief.cpp
+++ b/src/core/primary_belief.cpp
@@ -4,6 +4,11 @@
 
 namespace bronzeplank {
 
+bool confirms(const replication_status& witness, const known_primary& primary) {
+    return primary.term != 0 && witness.role == replication_role::replica &&
+           witness.term <= primary.term && witness.paused_by <= primary.term;
+}
+
 void primary_belief::learn(const std::string& instance, std::uint64_t term) {
     m_newest = std::max(m_newest, term);
     std::uint64_t& known = m_terms[instance];
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -7,6 +7,10 @@
 #include <chrono>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <map>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
 
 namespace bronzeplank {
 
@@ -43,13 +47,92 @@
     log_event_row{log_event::process_suspended, "process_suspended", "warning"},
 };
 
+// Space that a pipe promises with POLLOUT; a larger write might block.
+constexpr std::size_t unblocked_bytes = 4096;
+// What waits for a slow reader.
+constexpr std::size_t most_waiting_bytes = 256 * 1024;
+
+class sink {
+public:
+    void write(std::string line) {
+        if (m_waiting.size() + line.size() > most_waiting_bytes) {
+            leave_out();
+            return;
+        }
+        m_waiting += line;
+        flush();
+    }
+
+    // Whether one more line of the event fits into the present second.
+    bool admit(log_event event) {
+        timespec now{};
+        clock_gettime(CLOCK_MONOTONIC, &now);
+        if (now.tv_sec != m_second) {
+            m_second = now.tv_sec;
+            m_lines.clear();
+            tell_left_out();
+        }
+        if (++m_lines[event] > log_lines_per_second) {
+            leave_out();
+            return false;
+        }
+        return true;
+    }
+
+    std::uint64_t left_out() const { return m_left_out; }
+
+private:
+    void leave_out() { ++m_left_out; }
+
+    void tell_left_out() {
+        if (m_left_out != m_told) {
+            const std::uint64_t count = m_left_out - std::exchange(m_told, m_left_out);
+            log(log_event::lines_left_out, {{"count", std::to_string(count)}});
+        }
+    }
+
+    void flush() {
+        while (!m_waiting.empty()) {
+            pollfd out{STDOUT_FILENO, POLLOUT, 0};
+            if (poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0) {
+                return;
+            }
+            const auto written = ::write(STDOUT_FILENO, m_waiting.data(),
+                                         std::min(m_waiting.size(), unblocked_bytes));
+            if (written <= 0) {
+                // Nobody can be told that the log itself fails; the lines wait for the next try.
+                return;
+            }
+            m_waiting.erase(0, static_cast<std::size_t>(written));
+        }
+    }
+
+    std::string m_waiting;
+    std::map<log_event, int> m_lines;
+    time_t m_second = 0;
+    std::uint64_t m_left_out = 0;
+    std::uint64_t m_told = 0;
+};
+
+sink& output() {
+    static sink only;
+    return only;
+}
+
 } // namespace
 
+std::uint64_t log_lines_left_out() {
+    return output().left_out();
+}
+
 std::span<const log_event_row> log_events() {
     return rows;
 }
 
 void log(log_event event, std::initializer_list<log_field> fields) {
+    if (!output().admit(event)) {
+        return;
+    }
     const auto* row = std::find_if(rows.begin(), rows.end(),
                                    [event](const auto& item) { return item.event == event; });
     const auto now = std::chrono::system_clock::now();
@@ -63,7 +146,7 @@
     for (const auto& field : fields) {
         line += fmt::format(",{}:{}", internal::quoted(field.name), internal::quoted(field.value));
     }
-    fmt::print(stderr, "{}}}\n", line);
+    output().write(line + "}\n");
 }
 
 } // namespace bronzeplank
--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -1,7 +1,8 @@
 /// \file
-/// Numbered events, one line of JSON each, on standard error.
+/// Numbered events, one line of JSON each, on standard output.
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <span>
 #include <string>
@@ -55,7 +56,15 @@
     std::string value;
 };
 
-/// Writes one line. Values never hold a key or a token.
+/// Writes one line. Values never hold a key or a token. It never blocks, and writes at most
+/// `log_lines_per_second` of one event: what a slow reader or a storm leaves out is counted, and a
+/// later line (lines_left_out) says how many.
 void log(log_event event, std::initializer_list<log_field> fields);
 
+/// More lines of one event in a second say nothing new, and each costs processor time.
+constexpr int log_lines_per_second = 20;
+
+/// Lines left out since the start.
+std::uint64_t log_lines_left_out();
+
 } // namespace bronzeplank
--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -85,6 +85,7 @@
 fleet::fleet(event_loop& loop, identity self, fleet_directory& directory, fleet_services services)
     : m_loop(loop), m_self(std::move(self)), m_directory(directory),
       m_services(std::move(services)), m_incarnation(new_incarnation()),
+      m_started(event_loop::now()),
       m_bus(loop, m_self.peers, [this](const wire::envelope& message) { receive(message); }) {}
 
 void fleet::start() {
@@ -104,6 +105,16 @@
     return found;
 }
 
+std::size_t fleet::known_hosts(time_point now) const {
+    std::size_t count = 1;
+    for (const auto& [name, host] : m_directory.hosts()) {
+        const auto peer = m_peers.find(name);
+        const time_point heard = peer == m_peers.end() ? m_started : peer->second.heard;
+        count += name != m_self.host && now - heard < gone_after ? 1 : 0;
+    }
+    return std::max(count, live(now).size() + 1);
+}
+
 const fleet_peer* fleet::find(const std::string& host) const {
     const auto found = m_peers.find(host);
     const bool lives =
@@ -308,9 +319,8 @@
     peer.heard = event_loop::now();
     peer.lanes.clear();
     for (const auto& lane : beat.lanes()) {
-        peer.lanes[lane.instance()] = {lane.reachable(),
-                                       duration(static_cast<std::int64_t>(lane.wait_us())),
-                                       lane.stalled()};
+        peer.lanes[lane.instance()] = {
+            lane.reachable(), duration(static_cast<std::int64_t>(lane.wait_us())), lane.stalled()};
     }
     peer.demands.clear();
     for (const auto& demand : beat.demands()) {
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -70,6 +70,8 @@
 
     static constexpr std::chrono::milliseconds beat_period{200};
     static constexpr std::chrono::milliseconds peer_silence{650};
+    /// A host that nobody here has heard for this long is gone for good.
+    static constexpr std::chrono::seconds gone_after{30};
 
     fleet(event_loop& loop, identity self, fleet_directory& directory, fleet_services services);
     ~fleet();
@@ -81,6 +83,8 @@
 
     /// The peers that were heard lately, by name.
     std::vector<const fleet_peer*> live(time_point now) const;
+    /// All hosts, this one included, that live or may live where they can't be heard.
+    std::size_t known_hosts(time_point now) const;
     /// Null unless the peer lives.
     const fleet_peer* find(const std::string& host) const;
 
@@ -126,6 +130,7 @@
     fleet_directory& m_directory;
     fleet_services m_services;
     std::uint64_t m_incarnation;
+    time_point m_started;
     bool m_leaving = false;
     std::map<std::string, fleet_peer> m_peers;
     std::map<std::uint64_t, call> m_calls;
--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -179,7 +179,7 @@
             const auto demand = peer->demands.find(workspace);
             others += demand == peer->demands.end() ? 0 : demand->second;
         }
-        share.set_view(others, peers.size() + 1);
+        share.set_view(others, peers.size() + 1, m_fleet.known_hosts(now));
     }
     for (const auto& [id, instance] : m_directory.instances()) {
         if (m_directory.takes_work(instance)) {
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -192,6 +192,20 @@
         proved(false);
         return;
     }
+    if (primary->term == 0) {
+        // Only the list names it: its term is asked first.
+        order(instance, replication_order::report, 0,
+              [this, group, instance, witnesses = std::move(witnesses),
+               proved = std::move(proved)](const std::optional<replication_status>&) mutable {
+                  const auto asked = m_directory.primary(group);
+                  if (!asked || asked->instance != instance || asked->term == 0) {
+                      proved(false);
+                      return;
+                  }
+                  ask_witness(group, instance, std::move(witnesses), std::move(proved));
+              });
+        return;
+    }
     if (witnesses.empty()) {
         // A group of one instance has nobody else to promote.
         const bool alone = std::none_of(
@@ -207,18 +221,12 @@
           [this, group, instance, witnesses = std::move(witnesses),
            proved = std::move(proved)](const std::optional<replication_status>& status) mutable {
               const auto now_primary = m_directory.primary(group);
-              const std::uint64_t term =
-                  now_primary && now_primary->instance == instance ? now_primary->term : 0;
               if (!status) {
                   ask_witness(group, instance, std::move(witnesses), std::move(proved));
                   return;
               }
-              // Term 0 stands for a primary that only the list names: its term is asked with the
-              // next sample, and until then only a witness that nobody ever paused counts.
-              const bool follows = status->role == replication_role::replica &&
-                                   (term == 0 || status->term <= term) &&
-                                   (status->paused_by == 0 || status->paused_by <= term);
-              proved(follows && now_primary && now_primary->instance == instance);
+              proved(now_primary && now_primary->instance == instance &&
+                     confirms(*status, *now_primary));
           });
 }
 
--- /dev/null
+++ b/test/platform_documents_test.cpp
@@ -0,0 +1,111 @@
+#include "platform/documents.hpp"
+
+#include "bronzeplank/internal/json_reader.hpp"
+#include "platform/front_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace bronzeplank;
+using namespace bronzeplank::platform;
+
+namespace {
+
+std::optional<upstream_instance> instance_from(const std::string& text) {
+    const auto document = internal::parse_json(text);
+    return read_instance("i-1", document, nullptr);
+}
+
+std::string sound_instance() {
+    return R"({"Service":"g","Address":"10.0.0.9:80","Zone":"a","Version":"v1","Slots":2,
+               "State":"ready","ColdLeftMs":0,"DbRole":"replica","Seq":4,"born":1700000000000})";
+}
+
+std::string without(std::string text, const std::string& part) {
+    const auto at = text.find(part);
+    REQUIRE(at != std::string::npos);
+    return text.erase(at, part.size());
+}
+
+const std::string sound_settings = R"({
+  "host": "h1", "failure_domain": "a", "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2",
+  "peer_port": 7560, "metrics_port": 7561, "address": "10.0.0.1",
+  "known_peers": ["10.0.0.2:99"], "store": "10.9.0.1:5", "orders": "10.9.0.2:5",
+  "memory_mb": 260, "descriptors": 4200, "stop_grace_ms": 6000,
+  "leaving_instance_ms": 7000, "withdrawn_domain_ms": 5000 })";
+
+} // namespace
+
+TEST_CASE("an instance's entry") {
+    SECTION("names an instance to use") {
+        const auto instance = instance_from(sound_instance());
+        REQUIRE(instance);
+        REQUIRE(instance->group == "g");
+        REQUIRE(instance->address == endpoint{"10.0.0.9", 80});
+        REQUIRE(instance->slots == 2);
+        REQUIRE(instance->born_ms == 1700000000000);
+        REQUIRE_FALSE(instance->says_primary);
+    }
+    SECTION("of another writer names none") {
+        for (const char* part : {"\"Service\":\"g\",", "\"Address\":\"10.0.0.9:80\",",
+                                 "\"Slots\":2,", "\"DbRole\":\"replica\",", "\"Zone\":\"a\","}) {
+            INFO("without " << part);
+            REQUIRE_FALSE(instance_from(without(sound_instance(), part)));
+        }
+        REQUIRE_FALSE(instance_from(without(sound_instance(), "10.0.0.9:")));
+        REQUIRE_FALSE(instance_from("{}"));
+    }
+}
+
+TEST_CASE("a configuration") {
+    const auto document = internal::parse_json(
+        R"({"Version":7,"Routes":[
+            {"Name":"r1","Host":"d1","Type":"bounded_staleness","TimeoutMs":1500,
+             "TargetLatencyMs":400,"Priority":2,"Service":"g","MaxStalenessMs":1500,"Public":false},
+            {"Name":"r2","Host":"d2","Type":"primary","TimeoutMs":800,"TargetLatencyMs":120,
+             "Priority":1,"Service":"g","Public":true}, {"Host":"broken"}],
+            "Services":[{"Name":"g","MaxConns":16,"SyncReplicas":1}],
+            "Limits":{"TxIdleMs":3000},
+            "Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"RatePerS":121,"Burst":100}]})");
+    const auto read = read_configuration(document);
+    REQUIRE(read);
+    REQUIRE(read->version == 7);
+    REQUIRE(read->routes.size() == 2);
+    REQUIRE(read->routes.at("d1").consistency == read_consistency::bounded_staleness);
+    REQUIRE(read->routes.at("d1").max_staleness == std::chrono::milliseconds(1500));
+    REQUIRE(read->routes.at("d2").open);
+    REQUIRE(read->groups.at("g").max_connections == 16);
+    REQUIRE(read->key_owners.at("k2") == "t");
+    REQUIRE(read->workspaces.at("t").burst == 100);
+
+    SECTION("without a version is refused") {
+        const auto broken = internal::parse_json("{}");
+        REQUIRE_FALSE(read_configuration(broken));
+    }
+}
+
+TEST_CASE("a claim survives being written") {
+    const takeover_claim claim{5, "host-\"1\"", "i-7", false};
+    REQUIRE(read_claim(write_claim(claim)) == claim);
+    REQUIRE_THROWS_AS(read_claim(R"({"term":"five"})"), input_error);
+}
+
+TEST_CASE("a front host's settings") {
+    SECTION("are read") {
+        const auto read = read_front_settings(sound_settings);
+        REQUIRE(read.peers == endpoint{"10.0.0.1", 7560});
+        REQUIRE(read.known_peers == std::vector{endpoint{"10.0.0.2", 7560}});
+        REQUIRE(read.stop_grace == std::chrono::seconds(6));
+    }
+    SECTION("are refused with the place of the fault") {
+        const auto broken = [](const std::string& from, const std::string& to) {
+            std::string text = sound_settings;
+            return text.replace(text.find(from), from.size(), to);
+        };
+        REQUIRE_THROWS_WITH(read_front_settings(broken("10.0.0.1:1", "nowhere")),
+                            Catch::Matchers::Contains("/callers"));
+        REQUIRE_THROWS_WITH(read_front_settings(broken("7560", "-1")),
+                            Catch::Matchers::Contains("/peer_port"));
+        REQUIRE_THROWS_WITH(read_front_settings(broken("\"host\"", "\"hots\"")),
+                            Catch::Matchers::Contains("host"));
+    }
+}
--- /dev/null
+++ b/test/primary_belief_test.cpp
@@ -0,0 +1,48 @@
+#include "bronzeplank/primary_belief.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace bronzeplank;
+
+namespace {
+
+upstream_instance listed(const char* id, bool says_primary) {
+    upstream_instance instance;
+    instance.id = id;
+    instance.group = "g";
+    instance.says_primary = says_primary;
+    return instance;
+}
+
+} // namespace
+
+TEST_CASE("a group's primary is") {
+    upstream_list list{{"a", listed("a", true)}, {"b", listed("b", false)}};
+    primary_belief belief;
+
+    SECTION("the one that the list names") {
+        REQUIRE(belief.choose(list, "g") == known_primary{"a", 0});
+    }
+    SECTION("nobody in a group without a primary") {
+        list["a"].says_primary = false;
+        REQUIRE_FALSE(belief.choose(list, "g"));
+    }
+    SECTION("the one of the highest term, before the list knows") {
+        belief.learn("a", 3);
+        belief.learn("b", 4);
+        REQUIRE(belief.choose(list, "g") == known_primary{"b", 4});
+        SECTION("and also when an old one repeats its term") {
+            belief.learn("a", 3);
+            REQUIRE(belief.choose(list, "g") == known_primary{"b", 4});
+        }
+        SECTION("until it says that it is a replica of a newer term") {
+            belief.unlearn("b", 5);
+            REQUIRE(belief.choose(list, "g") == known_primary{"a", 3});
+            REQUIRE(belief.newest_term() == 5);
+        }
+        SECTION("but not when it has left the list") {
+            list.erase("b");
+            REQUIRE(belief.choose(list, "g") == known_primary{"a", 3});
+        }
+    }
+}
--- /dev/null
+++ b/test/takeover_test.cpp
@@ -0,0 +1,105 @@
+#include "bronzeplank/takeover.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace bronzeplank;
+
+namespace {
+
+paused_replica replica(const char* name, std::uint64_t term, std::uint64_t offset,
+                       bool stays = true) {
+    return {name, {replication_role::replica, term, {term, offset}, term + 1}, stays};
+}
+
+} // namespace
+
+TEST_CASE("a primary is replaced") {
+    takeover_evidence evidence;
+    evidence.hosts = 9;
+
+    SECTION("not while nothing speaks against it") {
+        REQUIRE(why_take_over(evidence) == takeover_reason::none);
+    }
+    SECTION("when most hosts can't reach it") {
+        evidence.cut_off = 5;
+        evidence.cut_off_here = true;
+        REQUIRE(why_take_over(evidence) == takeover_reason::unreachable);
+        SECTION("but not by a host that can") {
+            evidence.cut_off_here = false;
+            REQUIRE(why_take_over(evidence) == takeover_reason::none);
+        }
+    }
+    SECTION("not when one domain of three is cut off") {
+        evidence.cut_off = 3;
+        evidence.cut_off_here = true;
+        REQUIRE(why_take_over(evidence) == takeover_reason::none);
+    }
+    SECTION("when its commits do not end") {
+        evidence.stalled = true;
+        REQUIRE(why_take_over(evidence) == takeover_reason::stalled);
+    }
+    SECTION("when it leaves") {
+        evidence.leaving = true;
+        REQUIRE(why_take_over(evidence) == takeover_reason::leaving);
+    }
+    SECTION("when the list has none") {
+        evidence.listed = false;
+        REQUIRE(why_take_over(evidence) == takeover_reason::missing);
+    }
+}
+
+TEST_CASE("its successor") {
+    SECTION("is the replica that has received most") {
+        const auto chosen = choose_successor({{replica("a", 3, 7), replica("b", 3, 9)}, 0, {}});
+        REQUIRE(chosen == "b");
+    }
+    SECTION("is of the newer term, whatever the length of the logs") {
+        const auto chosen = choose_successor({{replica("a", 3, 900), replica("b", 4, 1)}, 0, {}});
+        REQUIRE(chosen == "b");
+    }
+    SECTION("stays, if two have received the same") {
+        const auto chosen =
+            choose_successor({{replica("a", 3, 9, false), replica("b", 3, 9, true)}, 0, {}});
+        REQUIRE(chosen == "b");
+    }
+    SECTION("is nobody while a replica is silent") {
+        takeover_choice choice{{replica("a", 3, 9)}, 1, {}, false};
+        REQUIRE_FALSE(choose_successor(choice));
+        SECTION("until waiting for it is over and all known commits are covered") {
+            choice.patience_over = true;
+            choice.acknowledged = {3, 9};
+            REQUIRE(choose_successor(choice) == "a");
+        }
+        SECTION("and stays nobody when a known commit is missing") {
+            choice.patience_over = true;
+            choice.acknowledged = {3, 10};
+            REQUIRE_FALSE(choose_successor(choice));
+        }
+    }
+}
+
+TEST_CASE("no acknowledged commit is lost") {
+    rc::prop("whichever replicas answer", [] {
+        // A commit is acknowledged once one replica has received it; replicas receive in order.
+        const auto received = *rc::gen::container<std::vector<std::uint64_t>>(
+            2, rc::gen::inRange<std::uint64_t>(0, 20));
+        const std::uint64_t acknowledged = std::max(received[0], received[1]);
+        const bool first_answers = *rc::gen::arbitrary<bool>();
+        const bool second_answers = *rc::gen::arbitrary<bool>();
+        takeover_choice choice;
+        choice.patience_over = *rc::gen::arbitrary<bool>();
+        choice.acknowledged = {1, acknowledged};
+        if (first_answers) {
+            choice.answered.push_back(replica("a", 1, received[0]));
+        }
+        if (second_answers) {
+            choice.answered.push_back(replica("b", 1, received[1]));
+        }
+        choice.silent = 2 - choice.answered.size();
+        const auto chosen = choose_successor(choice);
+        if (chosen) {
+            RC_ASSERT(received[*chosen == "a" ? 0 : 1] >= acknowledged);
+        }
+    });
+}
--- /dev/null
+++ b/test/work_placement_test.cpp
@@ -0,0 +1,36 @@
+#include "bronzeplank/work_placement.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace bronzeplank;
+using std::chrono::milliseconds;
+
+TEST_CASE("a read goes") {
+    placement_candidate near{"near", false, true, {}, 0, 2};
+    placement_candidate far{"far", false, false, {}, 0, 2};
+    placement_candidate primary{"primary", true, true, {}, 0, 2};
+    const auto chosen = [&] { return place_read({near, far, primary}, {}); };
+
+    SECTION("nowhere without candidates") {
+        REQUIRE_FALSE(place_read({}, {}));
+    }
+    SECTION("to the replica in its own domain") {
+        REQUIRE(chosen() == "near");
+    }
+    SECTION("to another domain when the wait at home is longer than the way") {
+        near.reported_wait = milliseconds(30);
+        REQUIRE(chosen() == "far");
+    }
+    SECTION("to another domain when this host alone has filled the one at home") {
+        near.outstanding = 4;
+        REQUIRE(chosen() == "far");
+    }
+    SECTION("to the primary only when every replica is much fuller") {
+        near.reported_wait = milliseconds(15);
+        far.reported_wait = milliseconds(15);
+        REQUIRE(chosen() == "near");
+        near.reported_wait = milliseconds(50);
+        far.reported_wait = milliseconds(50);
+        REQUIRE(chosen() == "primary");
+    }
+}
