Hosts share a gateway's samples of the primary

Ruled out: the proofs of strict reads (some 45 a second, already shared by reads in flight).

Change: a gateway's sample rounds start 250 ms apart at least; hosts that ask in between share the next one. Test: upstream_router_test.

--- a/src/session/takeover_service.cpp
+++ b/src/session/takeover_service.cpp
@@ -63,9 +63,8 @@
     m_tick = m_loop.after(tick_period, [this] { tick(); });
 }
 
-takeover_evidence
-takeover_service::evidence_on(const std::string& group,
-                              const std::optional<known_primary>& primary) const {
+takeover_evidence takeover_service::evidence_on(const std::string& group,
+                                                const std::optional<known_primary>& primary) const {
     takeover_evidence evidence;
     const upstream_instance* listed = primary ? m_directory.instance(primary->instance) : nullptr;
     if (listed == nullptr) {
@@ -161,8 +160,7 @@
     if (!present.claim.finished && now - state.seen_at < claim_respected) {
         co_return false;
     }
-    run.term =
-        std::max(m_directory.belief(run.group).newest_term(), present.claim.term) + 1;
+    run.term = std::max(m_directory.belief(run.group).newest_term(), present.claim.term) + 1;
     run.lease_end = now + claim_lease;
     const takeover_claim wanted{run.term, m_router.host(), "", false};
     const stored_claim written = co_await m_platform.write(run.group, present.revision, wanted);
@@ -291,11 +289,10 @@
                  {"took_ms", std::to_string(to_milliseconds(event_loop::now() - started))}});
             co_await settle(run, successor);
         } else {
-            log(log_event::promotion_abandoned,
-                {{"group", group},
-                 {"successor", successor},
-                 {"answered", std::to_string(run.paused.size())},
-                 {"in_lease", in_lease(run) ? "true" : "false"}});
+            log(log_event::promotion_abandoned, {{"group", group},
+                                                 {"successor", successor},
+                                                 {"answered", std::to_string(run.paused.size())},
+                                                 {"in_lease", in_lease(run) ? "true" : "false"}});
             // A successor may yet be promoted by an order that is on its way: then its replicas
             // stay paused until the next attempt.
             const bool harmless = successor.empty();
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -6,10 +6,10 @@
 
 namespace bronzeplank {
 
-upstream_router::upstream_router(std::string host, std::string failure_domain,
+upstream_router::upstream_router(event_loop& loop, std::string host, std::string failure_domain,
                                  fleet_directory& directory)
-    : m_host(std::move(host)), m_failure_domain(std::move(failure_domain)), m_directory(directory) {
-}
+    : m_loop(loop), m_host(std::move(host)), m_failure_domain(std::move(failure_domain)),
+      m_directory(directory) {}
 
 void upstream_router::connect(fleet& peers, local_gateway gateway) {
     m_fleet = &peers;
@@ -101,6 +101,34 @@
 }
 
 void upstream_router::sample_here(const std::string& group, sample_handler sampled) {
+    sample_round& round = m_samples[group];
+    round.waiting.push_back(std::move(sampled));
+    if (round.scheduled) {
+        return;
+    }
+    const time_point now = event_loop::now();
+    const time_point next = round.started + sample_spacing;
+    if (next <= now) {
+        run_sample_round(group);
+        return;
+    }
+    round.scheduled = true;
+    round.delay = m_loop.after(next - now, [this, group] { run_sample_round(group); });
+}
+
+void upstream_router::run_sample_round(const std::string& group) {
+    sample_round& round = m_samples[group];
+    round.scheduled = false;
+    round.started = event_loop::now();
+    take_sample(group, [asking = std::exchange(round.waiting, {})](
+                           const std::optional<log_position>& position) {
+        for (const auto& sampled : asking) {
+            sampled(position);
+        }
+    });
+}
+
+void upstream_router::take_sample(const std::string& group, sample_handler sampled) {
     const auto primary = m_directory.primary(group);
     if (!primary) {
         sampled(std::nullopt);
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -32,7 +32,8 @@
 /// questions that arose before it was asked.
 class upstream_router {
 public:
-    upstream_router(std::string host, std::string failure_domain, fleet_directory& directory);
+    upstream_router(event_loop& loop, std::string host, std::string failure_domain,
+                    fleet_directory& directory);
 
     /// Must be called before anything else; the router, the fleet and the gateway need each other.
     void connect(fleet& peers, local_gateway gateway);
@@ -77,23 +78,38 @@
     const std::string& failure_domain() const { return m_failure_domain; }
 
 private:
+    // Rounds of samples for one group start this far apart at least: hosts that ask in between
+    // share the next one, which is younger than their questions.
+    static constexpr std::chrono::milliseconds sample_spacing{250};
+
+    struct sample_round {
+        bool scheduled = false;
+        time_point started{};
+        std::vector<sample_handler> waiting;
+        timer delay;
+    };
+
     struct proof_round {
         bool running = false;
         std::vector<std::function<void(bool)>> waiting;
     };
 
+    void run_sample_round(const std::string& group);
+    void take_sample(const std::string& group, sample_handler sampled);
     void start_round(const std::string& group, const std::string& instance);
     void ask_witness(const std::string& group, const std::string& instance,
                      std::vector<std::string> witnesses, std::function<void(bool)> proved);
     void learn(const std::string& instance, const replication_status& status);
     std::vector<std::string> witnesses(const std::string& group, const std::string& primary) const;
 
+    event_loop& m_loop;
     std::string m_host;
     std::string m_failure_domain;
     fleet_directory& m_directory;
     fleet* m_fleet = nullptr;
     local_gateway m_gateway;
     std::map<std::string, proof_round> m_rounds;
+    std::map<std::string, sample_round> m_samples;
     bool m_leaving = false;
 };
 
--- a/test/upstream_router_test.cpp
+++ b/test/upstream_router_test.cpp
@@ -24,7 +24,7 @@
 struct lone_host {
     event_loop loop;
     fleet_directory directory;
-    upstream_router router{"host", "a", directory};
+    upstream_router router{loop, "host", "a", directory};
     fleet peers{loop, {"host", "a", {"127.0.0.1", 7590}, {}}, directory, {}};
     std::map<std::string, replication_status> reports;
     std::vector<std::string> asked;
@@ -90,7 +90,27 @@
         std::optional<log_position> sampled;
         host.router.sample("g", [&](const auto& position) { sampled = position; });
         REQUIRE(sampled == log_position{1, 27});
+        SECTION("that hosts which ask soon afterwards wait for together") {
+            int answers = 0;
+            host.asked.clear();
+            for (int i = 0; i < 5; ++i) {
+                host.router.sample("g", [&](const auto& position) {
+                    REQUIRE(position == log_position{1, 28});
+                    if (++answers == 5) {
+                        host.loop.stop();
+                    }
+                });
+            }
+            REQUIRE(answers == 0);
+            host.reports["p"].received.offset = 28;
+            host.loop.run();
+            REQUIRE(answers == 5);
+            REQUIRE(host.asked.size() == 2);
+        }
+    }
+    SECTION("and there is no sample without it") {
         host.reports["r"] = report(replication_role::replica, 1, 2);
+        std::optional<log_position> sampled = log_position{9, 9};
         host.router.sample("g", [&](const auto& position) { sampled = position; });
         REQUIRE_FALSE(sampled);
     }
