Promote only with every replica paused or given up by most; known hosts vote, not heard ones

Ruled out: a claim taken over too early (the claim before was finished); late orders (all inside the lease).

Change: votes count against all known hosts; what one host can't reach all others try, so that replicas have votes too; a silent replica is passed over only when most can't reach it; what the promotion began for is checked again before the order; a primary is alone only where commits need no replica.

--- a/include/bronzeplank/takeover.hpp
+++ b/include/bronzeplank/takeover.hpp
@@ -35,14 +35,15 @@
     bool stalled = false;
     /// This host can't reach the primary.
     bool cut_off_here = false;
-    /// Living hosts that can't reach it, and all of them, this one included.
+    /// Hosts that say that they can't reach it, and all known hosts, heard or not, this one
+    /// included.
     int cut_off = 0;
     int hosts = 1;
     bool operator==(const takeover_evidence&) const = default;
 };
 
-/// One host or one domain that is cut off replaces nobody: more than half of the living hosts
-/// must agree.
+/// One host or one domain that is cut off replaces nobody: more than half of the known hosts must
+/// agree.
 takeover_reason why_take_over(const takeover_evidence& evidence);
 
 /// A replica's answer to the order that stops it from receiving.
@@ -57,17 +58,16 @@
 /// What decides who is promoted.
 struct takeover_choice {
     std::vector<paused_replica> answered;
-    /// Listed replicas that have not answered.
+    /// Listed replicas that have not answered, and that more than half of the known hosts may
+    /// still reach.
     std::size_t silent = 0;
     /// The newest commit that any living host knows to be acknowledged.
     log_position acknowledged;
-    /// Waiting for silent replicas is over.
-    bool patience_over = false;
 };
 
 /// The replica to promote: one that stays, if it has received as much as any, or else the one
-/// that has received most. Nothing while a silent replica may hold an acknowledged commit that
-/// no other has.
+/// that has received most. Nothing while a replica is silent: one that is not paused may hold, or
+/// help to acknowledge, a commit that no other has.
 std::optional<std::string> choose_successor(const takeover_choice& choice);
 
 /// What is agreed on a group: the highest term claimed, by whom, and whether it has its primary.
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -26,18 +26,14 @@
 
 std::optional<std::string> choose_successor(const takeover_choice& choice) {
     const auto received = [](const paused_replica& replica) { return replica.status.received; };
-    const auto best = std::max_element(choice.answered.begin(), choice.answered.end(),
-                                       [&](const auto& left, const auto& right) {
-                                           return std::pair(received(left), left.stays) <
-                                                  std::pair(received(right), right.stays);
-                                       });
+    const auto best = std::max_element(
+        choice.answered.begin(), choice.answered.end(), [&](const auto& left, const auto& right) {
+            return std::pair(received(left), left.stays) < std::pair(received(right), right.stays);
+        });
     if (best == choice.answered.end() || received(*best) < choice.acknowledged) {
         return std::nullopt;
     }
-    if (choice.silent > 0 && !choice.patience_over) {
-        return std::nullopt;
-    }
-    return best->instance;
+    return choice.silent > 0 ? std::nullopt : std::optional(best->instance);
 }
 
 } // namespace bronzeplank
--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds sweep_period{50};
 // Orders and samples are small; a gateway that needs longer is no help.
 constexpr std::chrono::milliseconds small_call_limit{500};
+// The platform tells of a change within some ten milliseconds when it can.
+constexpr std::chrono::milliseconds platform_patience{300};
 // A relayed statement's answer may take as long as its own limit and a round trip.
 constexpr std::chrono::milliseconds relay_slack{50};
 
@@ -203,6 +205,12 @@
     case wire::envelope::kSample:
         serve_sample(message.from(), message);
         break;
+    case wire::envelope::kDirectory:
+        serve_directory(message.from());
+        break;
+    case wire::envelope::kDirectoryAnswer:
+        take_directory(message);
+        break;
     default:
         finish(message);
     }
@@ -261,6 +269,78 @@
     });
 }
 
+void fleet::serve_directory(const std::string& from) {
+    const directory_copy copy = m_services.copy_directory(true);
+    wire::envelope reply;
+    auto* written = reply.mutable_directory_answer();
+    written->set_configuration_version(copy.configuration_version);
+    written->set_configuration(copy.configuration_text);
+    written->set_list_revision(copy.list_revision);
+    for (const auto& [id, instance] : copy.instances) {
+        auto* added = written->add_instances();
+        added->set_id(id);
+        added->set_group(instance.group);
+        added->set_failure_domain(instance.failure_domain);
+        added->set_address(instance.address.address);
+        added->set_port(instance.address.port);
+        added->set_slots(instance.slots);
+        added->set_leaving(instance.leaving);
+        added->set_says_primary(instance.says_primary);
+        added->set_born_ms(instance.born_ms);
+    }
+    for (const auto& domain : copy.withdrawn_domains) {
+        written->add_withdrawn_domains(domain);
+    }
+    send(from, reply);
+}
+
+void fleet::take_directory(const wire::envelope& message) {
+    const auto& read = message.directory_answer();
+    directory_copy copy;
+    copy.configuration_version = read.configuration_version();
+    copy.configuration_text = read.configuration();
+    copy.list_revision = read.list_revision();
+    for (const auto& listed : read.instances()) {
+        copy.instances[listed.id()] = {
+            listed.id(),
+            listed.group(),
+            listed.failure_domain(),
+            {listed.address(), static_cast<std::uint16_t>(listed.port())},
+            listed.slots(),
+            listed.leaving(),
+            listed.says_primary(),
+            listed.born_ms()};
+    }
+    copy.withdrawn_domains = {read.withdrawn_domains().begin(), read.withdrawn_domains().end()};
+    m_services.accept_directory(copy);
+}
+
+// The platform's own word comes first; peers are asked when it does not come.
+void fleet::ask_for_directory(time_point now) {
+    const directory_copy own = m_services.copy_directory(false);
+    const bool lost = m_services.platform_lost();
+    const fleet_peer* newest = nullptr;
+    for (const fleet_peer* peer : live(now)) {
+        const bool newer = peer->configuration_version > own.configuration_version ||
+                           (lost && peer->list_revision > own.list_revision);
+        if (newer && (newest == nullptr || peer->list_revision > newest->list_revision)) {
+            newest = peer;
+        }
+    }
+    if (newest == nullptr) {
+        m_behind_since.reset();
+        return;
+    }
+    if (!m_behind_since) {
+        m_behind_since = now;
+    } else if (now - *m_behind_since >= platform_patience) {
+        m_behind_since = now;
+        wire::envelope message;
+        message.mutable_directory();
+        send(newest->host, message);
+    }
+}
+
 void fleet::finish(const wire::envelope& message) {
     const auto take = [this](std::uint64_t id) {
         const auto found = m_calls.find(id);
@@ -316,6 +396,8 @@
     peer.address = beat.peer_address();
     peer.incarnation = beat.incarnation();
     peer.leaving = beat.leaving();
+    peer.configuration_version = beat.configuration_version();
+    peer.list_revision = beat.list_revision();
     peer.heard = event_loop::now();
     peer.lanes.clear();
     for (const auto& lane : beat.lanes()) {
@@ -406,6 +488,9 @@
     beat->set_peer_address(m_self.peers.to_text());
     beat->set_incarnation(m_incarnation);
     beat->set_leaving(m_leaving);
+    const directory_copy own = m_services.copy_directory(false);
+    beat->set_configuration_version(own.configuration_version);
+    beat->set_list_revision(own.list_revision);
     for (const auto& [instance, state] : m_services.lanes()) {
         auto* lane = beat->add_lanes();
         lane->set_instance(instance);
@@ -438,6 +523,7 @@
 
 void fleet::tick() {
     beat();
+    ask_for_directory(event_loop::now());
     m_tick = m_loop.after(beat_period, [this] { tick(); });
 }
 
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -34,6 +34,8 @@
     std::string failure_domain;
     std::string address;
     std::uint64_t incarnation = 0;
+    std::uint64_t configuration_version = 0;
+    std::uint64_t list_revision = 0;
     bool leaving = false;
     time_point heard;
     std::map<std::string, lane_state, std::less<>> lanes;
@@ -54,6 +56,11 @@
     std::function<std::map<std::string, known_primary>()> primaries;
     std::function<std::map<std::string, log_position>()> acknowledged;
     std::function<void(const std::string&, const known_primary&)> learn_primary;
+    /// Without the contents, for beats, or whole.
+    std::function<directory_copy(bool whole)> copy_directory;
+    /// Whether this host asks peers for what they know newer of the list.
+    std::function<bool()> platform_lost;
+    std::function<void(const directory_copy&)> accept_directory;
 };
 
 /// Exchanges beats with every known host and relays work. A peer that has been silent for
@@ -116,6 +123,9 @@
     void serve_work(const std::string& from, const wire::envelope& message);
     void serve_order(const std::string& from, const wire::envelope& message);
     void serve_sample(const std::string& from, const wire::envelope& message);
+    void serve_directory(const std::string& from);
+    void take_directory(const wire::envelope& message);
+    void ask_for_directory(time_point now);
     void finish(const wire::envelope& message);
     std::uint64_t expect(const std::string& host, duration limit, call handlers);
     bool send(const std::string& host, wire::envelope& message);
@@ -135,6 +145,8 @@
     std::map<std::string, fleet_peer> m_peers;
     std::map<std::uint64_t, call> m_calls;
     std::uint64_t m_next_call = 1;
+    /// Since when peers know a newer directory.
+    std::optional<time_point> m_behind_since;
     std::uint64_t m_relayed = 0;
     peer_bus m_bus;
     timer m_tick;
--- a/src/session/fleet_directory.hpp
+++ b/src/session/fleet_directory.hpp
@@ -22,6 +22,17 @@
     bool operator==(const registered_host&) const = default;
 };
 
+/// What one host hands to another that can't ask the platform.
+struct directory_copy {
+    std::uint64_t configuration_version = 0;
+    /// The configuration as the operator wrote it.
+    std::string configuration_text;
+    std::uint64_t list_revision = 0;
+    upstream_list instances;
+    std::set<std::string> withdrawn_domains;
+    bool operator==(const directory_copy&) const = default;
+};
+
 /// Guarantees that versions of the configuration only go up while the process lives, and that an
 /// instance that is missing after an outage of the platform is kept until `lapse_grace` is over.
 class fleet_directory {
--- a/src/session/takeover_service.cpp
+++ b/src/session/takeover_service.cpp
@@ -93,8 +93,11 @@
     group_state& state = m_groups[group];
     const auto primary = m_directory.primary(group);
     const takeover_evidence evidence = evidence_on(group, primary);
-    if (primary && evidence.cut_off > 0) {
-        m_suspected.insert(primary->instance);
+    // What one host can't reach, all others try, so that there are votes on it.
+    for (const auto& [id, instance] : m_directory.instances()) {
+        if (instance.group == group && m_router.votes_on(id).cut_off > 0) {
+            m_suspected.insert(id);
+        }
     }
     const takeover_reason reason = why_take_over(evidence);
     if (reason != state.reason) {
@@ -190,19 +193,33 @@
             run.paused.push_back({replica, status, stays});
         }
         const bool patience_over = event_loop::now() >= patience;
-        const std::size_t silent = asked.size() - run.paused.size();
+        const auto silent = std::count_if(asked.begin(), asked.end(), [&](const auto& replica) {
+            const bool answered =
+                std::any_of(run.paused.begin(), run.paused.end(),
+                            [&](const auto& paused) { return paused.instance == replica; });
+            const bool given_up = patience_over && m_router.votes_on(replica).most_are_cut_off();
+            return !answered && !given_up;
+        });
         const auto chosen = choose_successor(
-            {run.paused, silent, acknowledged_by_anyone(run.group), patience_over});
-        if (chosen) {
+            {run.paused, static_cast<std::size_t>(silent), acknowledged_by_anyone(run.group)});
+        if (chosen && still_needed(run)) {
             co_return *chosen;
         }
-        if (patience_over || !in_lease(run)) {
+        const bool all_asked_are_done = answers->open == 0 && patience_over;
+        if (all_asked_are_done || !still_needed(run) || !in_lease(run)) {
             co_return std::string();
         }
         co_await sleep_for(m_loop, poll_period);
     }
 }
 
+bool takeover_service::still_needed(const run_state& run) const {
+    if (run.reason != takeover_reason::unreachable) {
+        return true;
+    }
+    return m_router.votes_on(run.old_primary).most_are_cut_off();
+}
+
 task<bool> takeover_service::promote(run_state& run, std::string successor) {
     const time_point limit = event_loop::now() + promotion_limit;
     bool accepted = false;
--- a/src/session/takeover_service.hpp
+++ b/src/session/takeover_service.hpp
@@ -97,6 +97,8 @@
                                                   std::uint64_t term);
     std::vector<std::string> replicas(const std::string& group, const std::string& primary) const;
     log_position acknowledged_by_anyone(const std::string& group) const;
+    /// Whether what the promotion began for still holds.
+    bool still_needed(const run_state& run) const;
     static bool in_lease(const run_state& run) { return event_loop::now() < run.lease_end; }
 
     event_loop& m_loop;
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -6,6 +6,27 @@
 
 namespace bronzeplank {
 
+namespace {
+
+std::ptrdiff_t replicas_listed(const fleet_directory& directory, const std::string& group,
+                               const std::string& primary) {
+    return std::count_if(
+        directory.instances().begin(), directory.instances().end(),
+        [&](const auto& entry) { return entry.second.group == group && entry.first != primary; });
+}
+
+} // namespace
+
+// Where commits need a replica, one that isn't listed may have been promoted.
+bool upstream_router::commits_without_replicas(const std::string& group) const {
+    const auto& configuration = m_directory.configuration();
+    if (!configuration) {
+        return false;
+    }
+    const auto policy = configuration->groups.find(group);
+    return policy != configuration->groups.end() && policy->second.sync_replicas == 0;
+}
+
 upstream_router::upstream_router(event_loop& loop, std::string host, std::string failure_domain,
                                  fleet_directory& directory)
     : m_loop(loop), m_host(std::move(host)), m_failure_domain(std::move(failure_domain)),
@@ -235,11 +256,8 @@
         return;
     }
     if (witnesses.empty()) {
-        // A group of one instance has nobody else to promote.
-        const bool alone = std::none_of(
-            m_directory.instances().begin(), m_directory.instances().end(), [&](const auto& entry) {
-                return entry.second.group == group && entry.first != instance;
-            });
+        const bool alone =
+            replicas_listed(m_directory, group, instance) == 0 && commits_without_replicas(group);
         proved(alone);
         return;
     }
@@ -274,11 +292,11 @@
 upstream_router::reach_votes upstream_router::votes_on(const std::string& instance) const {
     reach_votes votes;
     const auto own = m_gateway.state(instance);
-    votes.hosts = 1;
+    const time_point now = event_loop::now();
+    votes.hosts = static_cast<int>(m_fleet->known_hosts(now));
     votes.cut_off_here = own && !own->reachable;
     votes.cut_off = votes.cut_off_here ? 1 : 0;
-    for (const fleet_peer* peer : m_fleet->live(event_loop::now())) {
-        ++votes.hosts;
+    for (const fleet_peer* peer : m_fleet->live(now)) {
         const auto lane = peer->lanes.find(instance);
         votes.cut_off += lane != peer->lanes.end() && !lane->second.reachable ? 1 : 0;
     }
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -66,11 +66,14 @@
     /// What is known of an instance: its gateway's word, or this host's own.
     lane_state state_of(const upstream_instance& instance) const;
 
-    /// How many living hosts, this one included, can't reach the instance, and how many there are.
+    /// How many hosts say that they can't reach the instance, and how many hosts are known, heard
+    /// or not, this one included.
     struct reach_votes {
         int cut_off = 0;
         int hosts = 0;
         bool cut_off_here = false;
+
+        bool most_are_cut_off() const { return 2 * cut_off > hosts; }
     };
     reach_votes votes_on(const std::string& instance) const;
 
@@ -100,6 +103,7 @@
     void ask_witness(const std::string& group, const std::string& instance,
                      std::vector<std::string> witnesses, std::function<void(bool)> proved);
     void learn(const std::string& instance, const replication_status& status);
+    bool commits_without_replicas(const std::string& group) const;
     std::vector<std::string> witnesses(const std::string& group, const std::string& primary) const;
 
     event_loop& m_loop;
