--- a/src/cli/front_command.cpp
+++ b/src/cli/front_command.cpp
@@ -15,7 +15,8 @@
         "s", "settings", "settings file; BRONZEPLANK_CONFIG names it when this is left out", false,
         named == nullptr ? "" : named, "file", line);
     line.parse(words);
-    platform::run_front_host(platform::read_front_settings(read_file(file.getValue())));
+    const std::string path = file.getValue();
+    platform::run_front_host([path] { return platform::read_front_settings(read_file(path)); });
     return exit_done;
 }
 
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -45,6 +45,8 @@
     log_event_row{log_event::upstream_gone, "upstream_gone", "info"},
     log_event_row{log_event::workspaces_limited, "workspaces_limited", "info"},
     log_event_row{log_event::process_suspended, "process_suspended", "warning"},
+    log_event_row{log_event::settings_read, "settings_read", "info"},
+    log_event_row{log_event::settings_refused, "settings_refused", "error"},
 };
 
 // Space that a pipe promises with POLLOUT; a larger write might block.
--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -39,7 +39,9 @@
     upstream_listed = 1804,
     upstream_gone = 1805,
     workspaces_limited = 1901,
-    process_suspended = 2001
+    process_suspended = 2001,
+    settings_read = 2002,
+    settings_refused = 2003
 };
 
 /// One row of the catalogue.
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -290,6 +290,7 @@
     const bool in_transaction = m_state == session_state::in_transaction;
     const bool commits = asked.kind == statement_kind::commit;
     const std::string reason(to_string(result));
+    observe(reason);
     const bool may_have_run = !promises_not_run(result);
     // A transaction that wrote nothing keeps nothing, whatever became of its commit.
     const bool decided = in_transaction ? commits && m_operation.writes : must_write();
@@ -332,11 +333,12 @@
 void caller_session::succeed(const statement_answer& answer) {
     const bool commits = m_attempt.asked.kind == statement_kind::commit;
     const bool alone = m_state == session_state::idle;
+    observe("done");
     if (commits || alone) {
         // Positions of a read that wrote nothing do no harm, but would tie reads to fresh replicas.
         if (must_write() && answer.position != log_position{}) {
             m_written = std::max(m_written.value_or(log_position{}), answer.position);
-            m_service.note_acknowledged(m_operation.route.group, answer.position);
+            m_service.observer.acknowledged(m_operation.route.group, answer.position);
         }
         m_state = session_state::idle;
         m_operation.place.reset();
@@ -348,6 +350,14 @@
     this->answer(std::move(given));
 }
 
+void caller_session::observe(std::string_view outcome) const {
+    request_class what = must_write() ? request_class::write : request_class::read;
+    if (m_state != session_state::idle) {
+        what = request_class::transaction;
+    }
+    m_service.observer.answered(m_operation.workspace, what, outcome, elapsed());
+}
+
 void caller_session::abort_transaction() {
     if (m_operation.place && m_operation.transaction) {
         m_service.end_transaction(*m_operation.place, *m_operation.transaction);
--- a/src/session/caller_session.hpp
+++ b/src/session/caller_session.hpp
@@ -91,6 +91,7 @@
     void fail(error_kind kind, const std::string& message);
     void abort_transaction();
     bool must_write() const;
+    void observe(std::string_view outcome) const;
     duration elapsed() const { return event_loop::now() - m_attempt.arrived; }
 
     session_service& m_service;
--- a/src/session/session_service.hpp
+++ b/src/session/session_service.hpp
@@ -5,6 +5,7 @@
 #include "bronzeplank/demand_share.hpp"
 #include "bronzeplank/error.hpp"
 #include "bronzeplank/freshness_window.hpp"
+#include "service/metrics.hpp"
 #include "session/upstream_router.hpp"
 
 #include <map>
@@ -28,6 +29,17 @@
     bool operator==(const withdrawal_bounds&) const = default;
 };
 
+/// Called by the sessions of a host.
+struct session_observer {
+    /// A caller learns of a commit at this position.
+    std::function<void(const std::string& group, const log_position&)> acknowledged;
+    /// A statement that needed an instance was answered; outcome is an error's code, or `done`.
+    std::function<void(const std::string& workspace, request_class what, std::string_view outcome,
+                       duration latency)>
+        answered;
+};
+
+/// Shared by the sessions of a host. It must outlive them.
 class session_service {
 public:
     session_service(event_loop& loop, fleet_directory& directory, upstream_router& router,
@@ -56,8 +68,8 @@
     void end_transaction(const statement_target& target, const transaction_key& key);
     transaction_key new_transaction();
 
-    /// Called with the position of each commit that a caller learns of.
-    std::function<void(const std::string& group, const log_position&)> note_acknowledged;
+    /// What the host wants to know of its sessions; it must be set before the first session.
+    session_observer observer;
 
     event_loop& loop() { return m_loop; }
     /// Operations a second by workspace, for the other hosts.
--- a/test/model/lone_host.hpp
+++ b/test/model/lone_host.hpp
@@ -73,7 +73,8 @@
         configure(1, "key");
         service =
             std::make_unique<session_service>(loop, directory, router, peers, withdrawal_bounds{});
-        service->note_acknowledged = [](const std::string&, const log_position&) {};
+        service->observer = {[](const std::string&, const log_position&) {},
+                             [](const std::string&, request_class, std::string_view, duration) {}};
     }
 
     void configure(std::uint64_t version, const std::string& key) {
