--- a/include/bronzeplank/work_placement.hpp
+++ b/include/bronzeplank/work_placement.hpp
@@ -29,7 +29,7 @@
     /// The time that one statement is taken to hold a slot.
     duration work_time = std::chrono::milliseconds(15);
     /// A read in another domain pays for its bytes and for the way.
-    duration other_domain = std::chrono::milliseconds(6);
+    duration other_domain = std::chrono::milliseconds(25);
     /// Writes can be served nowhere else.
     duration primary = std::chrono::milliseconds(20);
     bool operator==(const placement_costs&) const = default;
