Beats carry what has changed; whole ones every third time

Change: short beats name only lanes that are full or out of reach, and positions and primaries that changed; every third beat is whole. Test: fleet_test, two hosts on a real bus.

--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -15,6 +15,12 @@
 constexpr std::chrono::milliseconds small_call_limit{500};
 // The platform tells of a change within some ten milliseconds when it can.
 constexpr std::chrono::milliseconds platform_patience{300};
+// Two short beats between whole ones: demand that is 600 ms old still divides a rate well.
+constexpr int beats_between_whole = 2;
+// Shorter waits move no read elsewhere.
+constexpr std::chrono::milliseconds shortest_told_wait{2};
+// Less than one operation in two seconds claims no part of a rate.
+constexpr double least_told_demand = 0.5;
 // A relayed statement's answer may take as long as its own limit and a round trip.
 constexpr std::chrono::milliseconds relay_slack{50};
 
@@ -190,7 +196,7 @@
 void fleet::receive(const wire::envelope& message) {
     switch (message.payload_case()) {
     case wire::envelope::kFleet:
-        hear(message.fleet());
+        hear(message.from(), message.fleet());
         break;
     case wire::envelope::kWork:
         serve_work(message.from(), message);
@@ -379,21 +385,19 @@
     }
 }
 
-void fleet::hear(const wire::fleet_beat& beat) {
-    if (beat.host() == m_self.host) {
+void fleet::hear(const std::string& from, const wire::fleet_beat& beat) {
+    const auto known = m_peers.find(from);
+    // A beat that is not whole does not say where its sender listens.
+    if (from == m_self.host || (known == m_peers.end() && !beat.whole())) {
         return;
     }
-    fleet_peer& peer = m_peers[beat.host()];
+    fleet_peer& peer = m_peers[from];
     const bool started_again = peer.incarnation != 0 && peer.incarnation != beat.incarnation();
     if (peer.incarnation != beat.incarnation()) {
-        log(log_event::peer_joined, {{"host", beat.host()}, {"address", beat.peer_address()}});
+        log(log_event::peer_joined, {{"host", from}, {"address", beat.peer_address()}});
+        m_next_whole = 0;
     }
-    if (peer.address != beat.peer_address() && !peer.address.empty()) {
-        m_bus.forget(peer.address);
-    }
-    peer.host = beat.host();
-    peer.failure_domain = beat.failure_domain();
-    peer.address = beat.peer_address();
+    peer.host = from;
     peer.incarnation = beat.incarnation();
     peer.leaving = beat.leaving();
     peer.configuration_version = beat.configuration_version();
@@ -404,19 +408,29 @@
         peer.lanes[lane.instance()] = {
             lane.reachable(), duration(static_cast<std::int64_t>(lane.wait_us())), lane.stalled()};
     }
-    peer.demands.clear();
-    for (const auto& demand : beat.demands()) {
-        peer.demands[demand.workspace()] = demand.per_second();
-    }
-    peer.acknowledged.clear();
     for (const auto& newest : beat.acknowledged()) {
         peer.acknowledged[newest.group()] = {newest.term(), newest.offset()};
     }
     for (const auto& primary : beat.primaries()) {
         m_services.learn_primary(primary.group(), {primary.instance(), primary.term()});
     }
+    if (beat.whole()) {
+        hear_whole(peer, beat);
+    }
     if (started_again) {
-        fail_calls_to(beat.host());
+        fail_calls_to(from);
+    }
+}
+
+void fleet::hear_whole(fleet_peer& peer, const wire::fleet_beat& beat) {
+    if (peer.address != beat.peer_address() && !peer.address.empty()) {
+        m_bus.forget(peer.address);
+    }
+    peer.address = beat.peer_address();
+    peer.failure_domain = beat.failure_domain();
+    peer.demands.clear();
+    for (const auto& demand : beat.demands()) {
+        peer.demands[demand.workspace()] = demand.per_second();
     }
 }
 
@@ -483,15 +497,17 @@
     wire::envelope message;
     message.set_from(m_self.host);
     auto* beat = message.mutable_fleet();
-    beat->set_host(m_self.host);
-    beat->set_failure_domain(m_self.failure_domain);
-    beat->set_peer_address(m_self.peers.to_text());
     beat->set_incarnation(m_incarnation);
     beat->set_leaving(m_leaving);
     const directory_copy own = m_services.copy_directory(false);
     beat->set_configuration_version(own.configuration_version);
     beat->set_list_revision(own.list_revision);
+    beat->set_whole(m_next_whole == 0);
+    m_next_whole = m_next_whole == 0 ? beats_between_whole : m_next_whole - 1;
     for (const auto& [instance, state] : m_services.lanes()) {
+        if (state.reachable && !state.stalled && state.wait < shortest_told_wait) {
+            continue;
+        }
         auto* lane = beat->add_lanes();
         lane->set_instance(instance);
         lane->set_reachable(state.reachable);
@@ -499,28 +515,48 @@
         lane->set_wait_us(
             static_cast<std::uint64_t>(std::max<duration::rep>(0, state.wait.count())));
     }
-    for (const auto& [workspace, per_second] : m_services.demands()) {
-        auto* demand = beat->add_demands();
-        demand->set_workspace(workspace);
-        demand->set_per_second(per_second);
-    }
-    for (const auto& [group, primary] : m_services.primaries()) {
-        auto* view = beat->add_primaries();
-        view->set_group(group);
-        view->set_instance(primary.instance);
-        view->set_term(primary.term);
-    }
-    for (const auto& [group, position] : m_services.acknowledged()) {
-        auto* newest = beat->add_acknowledged();
-        newest->set_group(group);
-        newest->set_term(position.term);
-        newest->set_offset(position.offset);
+    write_changes(*beat);
+    if (beat->whole()) {
+        beat->set_failure_domain(m_self.failure_domain);
+        beat->set_peer_address(m_self.peers.to_text());
+        for (const auto& [workspace, per_second] : m_services.demands()) {
+            if (per_second >= least_told_demand) {
+                auto* demand = beat->add_demands();
+                demand->set_workspace(workspace);
+                demand->set_per_second(static_cast<float>(per_second));
+            }
+        }
     }
     for (const auto& [address, host] : addresses()) {
         m_bus.send(address, message);
     }
 }
 
+void fleet::write_changes(wire::fleet_beat& beat) {
+    const auto primaries = m_services.primaries();
+    for (const auto& [group, primary] : primaries) {
+        const auto told = m_told_primaries.find(group);
+        if (beat.whole() || told == m_told_primaries.end() || told->second != primary) {
+            auto* view = beat.add_primaries();
+            view->set_group(group);
+            view->set_instance(primary.instance);
+            view->set_term(primary.term);
+        }
+    }
+    m_told_primaries = primaries;
+    const auto acknowledged = m_services.acknowledged();
+    for (const auto& [group, position] : acknowledged) {
+        const auto told = m_told_acknowledged.find(group);
+        if (beat.whole() || told == m_told_acknowledged.end() || told->second != position) {
+            auto* newest = beat.add_acknowledged();
+            newest->set_group(group);
+            newest->set_term(position.term);
+            newest->set_offset(position.offset);
+        }
+    }
+    m_told_acknowledged = acknowledged;
+}
+
 void fleet::tick() {
     beat();
     ask_for_directory(event_loop::now());
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -119,7 +119,9 @@
     };
 
     void receive(const wire::envelope& message);
-    void hear(const wire::fleet_beat& beat);
+    void hear(const std::string& from, const wire::fleet_beat& beat);
+    void hear_whole(fleet_peer& peer, const wire::fleet_beat& beat);
+    void write_changes(wire::fleet_beat& beat);
     void serve_work(const std::string& from, const wire::envelope& message);
     void serve_order(const std::string& from, const wire::envelope& message);
     void serve_sample(const std::string& from, const wire::envelope& message);
@@ -148,6 +150,10 @@
     /// Since when peers know a newer directory.
     std::optional<time_point> m_behind_since;
     std::uint64_t m_relayed = 0;
+    /// Short beats until the next whole one.
+    int m_next_whole = 0;
+    std::map<std::string, known_primary> m_told_primaries;
+    std::map<std::string, log_position> m_told_acknowledged;
     peer_bus m_bus;
     timer m_tick;
     timer m_sweep;
--- /dev/null
+++ b/test/session/fleet_test.cpp
@@ -0,0 +1,172 @@
+#include "session/fleet.hpp"
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+using namespace bronzeplank;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A host with a real bus on loopback, whose gateway a test plays.
+struct bus_host {
+    event_loop& loop;
+    fleet_directory directory;
+    std::map<std::string, lane_state, std::less<>> lanes;
+    std::map<std::string, double> demands;
+    std::map<std::string, known_primary> primaries;
+    std::map<std::string, log_position> acknowledged;
+    std::map<std::string, known_primary> learned;
+    std::vector<upstream_work> works;
+    std::vector<answer_handler> answers;
+    std::vector<transaction_key> ended;
+    directory_copy known;
+    std::vector<directory_copy> taken;
+    std::unique_ptr<fleet> peers;
+
+    bus_host(event_loop& on, const std::string& name, std::uint16_t port, std::uint16_t seed)
+        : loop(on) {
+        fleet_services services;
+        services.run = [this](upstream_work work, answer_handler answered) {
+            works.push_back(std::move(work));
+            answers.push_back(std::move(answered));
+        };
+        services.end_transaction = [this](const std::string&, const transaction_key& key) {
+            ended.push_back(key);
+        };
+        services.order = [](const std::string&, replication_order, std::uint64_t term,
+                            const status_handler& reported) {
+            reported(replication_status{replication_role::replica, term, {term, 9}, 0});
+        };
+        services.sample = [](const std::string&, const sample_handler& sampled) {
+            sampled(log_position{4, 2});
+        };
+        services.lanes = [this] { return lanes; };
+        services.demands = [this] { return demands; };
+        services.primaries = [this] { return primaries; };
+        services.acknowledged = [this] { return acknowledged; };
+        services.learn_primary = [this](const std::string& group, const known_primary& primary) {
+            learned[group] = primary;
+        };
+        services.copy_directory = [this](bool) { return known; };
+        services.platform_lost = [] { return true; };
+        services.accept_directory = [this](const directory_copy& copy) { taken.push_back(copy); };
+        peers = std::make_unique<fleet>(
+            loop, fleet::identity{name, "a", {"127.0.0.1", port}, {endpoint{"127.0.0.1", seed}}},
+            directory, services);
+        peers->start();
+    }
+};
+
+template <class Condition>
+bool run_until(event_loop& loop, Condition condition) {
+    const time_point limit = event_loop::now() + std::chrono::seconds(4);
+    while (!condition() && event_loop::now() < limit) {
+        const timer stop = loop.after(milliseconds(2), [&loop] { loop.stop(); });
+        loop.run();
+    }
+    return condition();
+}
+
+upstream_work sound_work() {
+    upstream_work work;
+    work.group = "g";
+    work.instance = "i";
+    work.workspace = "desk";
+    work.what = {statement_kind::execute, "id-1", "text", false, "name", "argument",
+                 {true, "WRITE q"}};
+    work.values = {{"lang", "pl"}};
+    work.at_least = log_position{3, 17};
+    work.opens_transaction = true;
+    work.strict = true;
+    work.priority = 2;
+    work.objective_left = milliseconds(120);
+    work.time_left = milliseconds(800);
+    return work;
+}
+
+} // namespace
+
+TEST_CASE("two hosts that know each other's address") {
+    event_loop loop;
+    bus_host first(loop, "first", 7593, 7594);
+    auto second = std::make_unique<bus_host>(loop, "second", 7594, 7593);
+    first.lanes["far"] = {false, {}, false};
+    first.demands["desk"] = 7;
+    first.primaries["g"] = {"p", 3};
+    first.acknowledged["g"] = {3, 40};
+    const auto heard = [&] { return second->peers->find("first") != nullptr; };
+    REQUIRE(run_until(loop, [&] {
+        return heard() && !second->peers->find("first")->lanes.empty() &&
+               first.peers->find("second") != nullptr;
+    }));
+
+    SECTION("tell each other what they reach, want and know") {
+        const fleet_peer& peer = *second->peers->find("first");
+        REQUIRE_FALSE(peer.lanes.at("far").reachable);
+        REQUIRE(run_until(loop, [&] { return !peer.demands.empty(); }));
+        REQUIRE(peer.demands.at("desk") == Approx(7));
+        REQUIRE(peer.acknowledged.at("g") == log_position{3, 40});
+        REQUIRE(second->learned.at("g") == known_primary{"p", 3});
+        SECTION("and what changes, with the next beat") {
+            first.lanes.clear();
+            first.primaries["g"] = {"q", 4};
+            first.peers->beat();
+            REQUIRE(run_until(
+                loop, [&] { return peer.lanes.empty() && second->learned.at("g").term == 4; }));
+        }
+    }
+    SECTION("hand over work whole, and its answer back") {
+        std::optional<statement_answer> answer;
+        upstream_work work = sound_work();
+        work.transaction = transaction_key{"first", 5};
+        first.peers->run("second", work, [&](const statement_answer& given) { answer = given; });
+        REQUIRE(run_until(loop, [&] { return !second->works.empty(); }));
+        const upstream_work& received = second->works.front();
+        REQUIRE(received.what.id == "id-1");
+        REQUIRE(received.what.shape == statement_shape{true, "WRITE q"});
+        REQUIRE(received.values == work.values);
+        REQUIRE(received.at_least == work.at_least);
+        REQUIRE(received.transaction == work.transaction);
+        REQUIRE(received.opens_transaction);
+        REQUIRE(received.strict);
+        REQUIRE(received.time_left == work.time_left);
+        second->answers.front()({upstream_result::done, {"row"}, "signature", {3, 18}});
+        REQUIRE(run_until(loop, [&] { return answer.has_value(); }));
+        REQUIRE(*answer == statement_answer{upstream_result::done, {"row"}, "signature", {3, 18}});
+    }
+    SECTION("ask each other for samples and reports") {
+        std::optional<log_position> sampled;
+        first.peers->sample("second", "g", [&](const auto& position) { sampled = position; });
+        std::optional<replication_status> reported;
+        first.peers->order("second", "i", replication_order::pause, 8,
+                           [&](const auto& status) { reported = status; });
+        REQUIRE(run_until(loop, [&] { return sampled && reported; }));
+        REQUIRE(*sampled == log_position{4, 2});
+        REQUIRE(reported->term == 8);
+    }
+    SECTION("end each other's transactions") {
+        first.peers->end_transaction("second", "i", {"first", 6});
+        REQUIRE(run_until(loop, [&] { return !second->ended.empty(); }));
+        REQUIRE(second->ended.front() == transaction_key{"first", 6});
+    }
+    SECTION("help one that has lost the platform") {
+        first.known = {7, "{}", 30, {}, {"b"}};
+        REQUIRE(run_until(loop, [&] { return !second->taken.empty(); }));
+        REQUIRE(second->taken.front() == first.known);
+    }
+    SECTION("leave work unanswered, not refused, when the other dies with it") {
+        std::optional<statement_answer> answer;
+        first.peers->run("second", sound_work(),
+                         [&](const statement_answer& given) { answer = given; });
+        REQUIRE(run_until(loop, [&] { return !second->works.empty(); }));
+        second.reset();
+        REQUIRE(run_until(loop, [&] { return answer.has_value(); }));
+        REQUIRE(answer->result == upstream_result::unanswered);
+        SECTION("and refuse what comes afterwards, which was never sent") {
+            first.peers->run("second", sound_work(),
+                             [&](const statement_answer& given) { answer = given; });
+            REQUIRE(answer->result == upstream_result::unsent);
+        }
+    }
+}
