--- a/src/session/upstream_lane.hpp
+++ b/src/session/upstream_lane.hpp
@@ -86,7 +86,7 @@
             answered({upstream_result::overloaded, {}, {}, {}});
             return;
         }
-        m_waiting.push({std::move(work), std::move(answered), urgency}, urgency);
+        m_waiting.push({std::move(work), std::move(answered), urgency, now}, urgency);
         pump();
     }
 
@@ -199,6 +199,8 @@
     // Several times what a commit takes on a full instance.
     static constexpr std::chrono::milliseconds stall{600};
 
+    // About twice what opening a connection takes.
+    static constexpr std::chrono::milliseconds opening_patience{30};
     // An instance that takes no more connections is not asked for one in this time.
     static constexpr std::chrono::milliseconds full_remembered{100};
     // Longer than a statement's time limit, after which the next write has to show it anew.
@@ -208,6 +210,7 @@
         upstream_work work;
         answer_handler answered;
         work_urgency urgency;
+        time_point arrived{};
     };
 
     struct connection {
@@ -337,7 +340,17 @@
                 }
                 return idle_link(next.work.workspace) != nullptr || may_open();
             };
-            auto next = m_waiting.pop(event_loop::now(), usable);
+            // A new connection costs the instance as much as a statement does: work that needs
+            // one goes after work that does not, until it has waited for as long as that costs.
+            const time_point patient_since = event_loop::now() - opening_patience;
+            const auto ready = [&](const waiting_work& next) {
+                return usable(next) &&
+                       (next.arrived <= patient_since || idle_link(next.work.workspace) != nullptr);
+            };
+            auto next = m_waiting.pop(event_loop::now(), ready);
+            if (!next) {
+                next = m_waiting.pop(event_loop::now(), usable);
+            }
             if (!next) {
                 break;
             }
@@ -363,14 +376,22 @@
         return link.ready && !link.running && !link.gone && !link.transaction;
     }
 
-    std::shared_ptr<connection> least_used() {
-        std::shared_ptr<connection> oldest;
+    // The idle connection that is missed least: of the workspace that has most, the oldest one.
+    std::shared_ptr<connection> least_needed() {
+        std::map<std::string_view, int> held;
         for (const auto& link : m_links) {
-            if (is_idle(*link) && (!oldest || link->used < oldest->used)) {
-                oldest = link;
+            held[link->workspace] += link->gone ? 0 : 1;
+        }
+        std::shared_ptr<connection> chosen;
+        for (const auto& link : m_links) {
+            const auto missed = [&](const connection& other) {
+                return std::pair(-held[other.workspace], other.used);
+            };
+            if (is_idle(*link) && (!chosen || missed(*link) < missed(*chosen))) {
+                chosen = link;
             }
         }
-        return oldest;
+        return chosen;
     }
 
     int open_links() const {
@@ -383,11 +404,11 @@
         return open_links() + 1 < m_limits.connections && event_loop::now() >= m_full_until;
     }
 
-    bool may_open() { return has_room() || least_used() != nullptr; }
+    bool may_open() { return has_room() || least_needed() != nullptr; }
 
     void open(waiting_work work) {
         if (!has_room()) {
-            drop(*least_used());
+            drop(*least_needed());
         }
         const time_point now = event_loop::now();
         auto added = std::make_shared<connection>();
--- a/test/session/upstream_lane_test.cpp
+++ b/test/session/upstream_lane_test.cpp
@@ -113,6 +113,40 @@
     }
 }
 
+TEST_CASE("connections are scarce") {
+    lane_in_test test(4);
+
+    SECTION("so work that has one goes first, for a while") {
+        for (const char* workspace : {"a", "b", "c"}) {
+            test.run(read_for(workspace, "first"));
+            const std::size_t newest = test.far.connections.size() - 1;
+            test.far.accept(newest);
+        }
+        // All three slots and one are taken; "d" needs a connection and "a" does not.
+        upstream_work urgent = read_for("d", "new");
+        urgent.objective_left = milliseconds(500);
+        test.run(urgent);
+        test.run(read_for("a", "second"));
+        test.far.done(0);
+        REQUIRE(test.far.at(0).log == std::vector<std::string>{"first", "second"});
+        REQUIRE(test.far.connections.size() == 3);
+    }
+    SECTION("and the one closed for another workspace is of the one that has most") {
+        test.run(read_for("a", "1"));
+        test.far.accept(0);
+        test.run(read_for("b", "2"));
+        test.far.accept(1);
+        test.run(read_for("b", "3"));
+        test.far.accept(2);
+        for (std::size_t i = 0; i < 3; ++i) {
+            test.far.done(i);
+        }
+        test.run(read_for("c", "4"));
+        REQUIRE_FALSE(test.far.at(0).gone);
+        REQUIRE(test.far.at(1).gone);
+    }
+}
+
 TEST_CASE("a connection has exactly its session's values and shapes") {
     lane_in_test test;
     upstream_work work = read_for("desk", "read a");
