A primary whose writes do not end gets no more of them

Ruled out: a late promotion (the side with the primary has neither replicas nor the store; the other side promotes when the list drops the primary). Test: upstream_lane_test, red before.

--- a/src/session/upstream_lane.hpp
+++ b/src/session/upstream_lane.hpp
@@ -82,7 +82,9 @@
             answered({upstream_result::unsent, {}, {}, {}});
             return;
         }
-        if (!m_waiting.admits(urgency, now, m_work_time, m_instance.slots)) {
+        // What has not ended holds slots already; more of it would end in doubt.
+        const bool stalls = stalled() && !work.read_only_work;
+        if (stalls || !m_waiting.admits(urgency, now, m_work_time, m_instance.slots)) {
             answered({upstream_result::overloaded, {}, {}, {}});
             return;
         }
--- a/test/session/upstream_lane_test.cpp
+++ b/test/session/upstream_lane_test.cpp
@@ -304,6 +304,29 @@
     }
 }
 
+TEST_CASE("a primary whose writes do not end") {
+    lane_in_test test;
+    test.run(write_for("desk", "write a"));
+    test.far.accept(0);
+    test.lane->tick(event_loop::now() + milliseconds(700), false);
+    REQUIRE(test.lane->stalled());
+
+    SECTION("gets no more of them, which are refused at once") {
+        test.run(write_for("desk", "write b"));
+        REQUIRE(test.last() == upstream_result::overloaded);
+    }
+    SECTION("goes on with reads") {
+        test.run(read_for("portal", "read b"));
+        REQUIRE(test.answers.empty());
+    }
+    SECTION("takes writes again when one has ended") {
+        test.far.done(0);
+        REQUIRE_FALSE(test.lane->stalled());
+        test.run(write_for("desk", "write b"));
+        REQUIRE(test.far.at(0).log.back() == "write b");
+    }
+}
+
 TEST_CASE("around a planned switch to another primary") {
     lane_in_test test;
     test.run(write_for("desk", "write a"));
