--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -52,7 +52,7 @@
 // Space that a pipe promises with POLLOUT; a larger write might block.
 constexpr std::size_t unblocked_bytes = 4096;
 // What waits for a slow reader.
-constexpr std::size_t most_waiting_bytes = 256 * 1024;
+constexpr std::size_t most_waiting_bytes = 262144;
 
 class sink {
 public:
