Promote only when at most one instance of the group is out of sight

Change: the directory remembers for 20 s how many staying instances a group had; a successor is chosen only when all but one of them are paused or given up by most hosts. Tests: takeover_test and fleet_directory_test; the section of takeover_test with two of three out of sight fails without the new condition. Open: a host that started during the cut does not know the size.

--- a/include/bronzeplank/takeover.hpp
+++ b/include/bronzeplank/takeover.hpp
@@ -61,13 +61,17 @@
     /// Listed replicas that have not answered, and that more than half of the known hosts may
     /// still reach.
     std::size_t silent = 0;
+    /// Listed replicas that more than half of the known hosts can't reach.
+    std::size_t given_up = 0;
+    /// The group's instances, those included that went out of sight lately.
+    std::size_t instances = 0;
     /// The newest commit that any living host knows to be acknowledged.
     log_position acknowledged;
 };
 
 /// The replica to promote: one that stays, if it has received as much as any, or else the one
-/// that has received most. Nothing while a replica is silent: one that is not paused may hold, or
-/// help to acknowledge, a commit that no other has.
+/// that has received most. Nothing while a replica is silent, or two instances are out of sight:
+/// one that is not paused may help the old primary to acknowledge a commit that no other has.
 std::optional<std::string> choose_successor(const takeover_choice& choice);
 
 /// What is agreed on a group: the highest term claimed, by whom, and whether it has its primary.
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -33,7 +33,10 @@
     if (best == choice.answered.end() || received(*best) < choice.acknowledged) {
         return std::nullopt;
     }
-    return choice.silent > 0 ? std::nullopt : std::optional(best->instance);
+    // The old primary alone can't acknowledge; with any other instance it can.
+    const std::size_t accounted = choice.answered.size() + choice.given_up + 1;
+    const bool certain = choice.silent == 0 && accounted >= choice.instances;
+    return certain ? std::optional(best->instance) : std::nullopt;
 }
 
 } // namespace bronzeplank
--- a/src/session/fleet_directory.cpp
+++ b/src/session/fleet_directory.cpp
@@ -54,7 +54,29 @@
     drop_lapsed(now);
 }
 
+std::size_t fleet_directory::group_size(const std::string& group) const {
+    const auto found = m_sizes.find(group);
+    return found == m_sizes.end() ? 0 : found->second.count;
+}
+
+void fleet_directory::look_at_sizes(time_point now) {
+    std::map<std::string, std::size_t> counts;
+    for (const auto& [id, instance] : m_instances) {
+        counts[instance.group] += instance.leaving ? 0 : 1;
+    }
+    for (const auto& [group, count] : counts) {
+        m_sizes.try_emplace(group);
+    }
+    for (auto& [group, size] : m_sizes) {
+        const std::size_t count = counts[group];
+        if (count >= size.count || now - size.seen > size_memory) {
+            size = {count, now};
+        }
+    }
+}
+
 void fleet_directory::drop_lapsed(time_point now) {
+    look_at_sizes(now);
     if (now < m_lapses_until) {
         return;
     }
--- a/src/session/fleet_directory.hpp
+++ b/src/session/fleet_directory.hpp
@@ -40,6 +40,8 @@
     /// How long after the platform's return a lapsed entry may take to come back.
     static constexpr std::chrono::seconds lapse_grace{2};
 
+    static constexpr std::chrono::seconds size_memory{20};
+
     /// Puts a version in force; an older one than the present is ignored.
     void accept(std::shared_ptr<const fleet_configuration> configuration);
     /// Null before the first version.
@@ -53,9 +55,14 @@
     void remove_instance(const std::string& id, time_point now);
     /// Until then, entries that are missing may have lapsed during an outage.
     void platform_returned(time_point now) { m_lapses_until = now + lapse_grace; }
-    /// Drops entries whose grace is over.
+    /// Drops entries whose grace is over, and looks at the groups' sizes; called several times a
+    /// second.
     void drop_lapsed(time_point now);
 
+    /// The group's instances that stay, those included that were listed in the last
+    /// `size_memory`: what is cut off from the platform leaves the list and goes on living.
+    std::size_t group_size(const std::string& group) const;
+
     const upstream_list& instances() const { return m_instances; }
     const upstream_instance* instance(const std::string& id) const;
 
@@ -78,10 +85,17 @@
     const database_route* route(const std::string& database) const;
 
 private:
+    void look_at_sizes(time_point now);
+
     std::shared_ptr<const fleet_configuration> m_configuration;
     upstream_list m_instances;
     std::map<std::string, time_point> m_missing;
     time_point m_lapses_until{};
+    struct seen_size {
+        std::size_t count = 0;
+        time_point seen{};
+    };
+    std::map<std::string, seen_size> m_sizes;
     std::set<std::string> m_withdrawn;
     std::map<std::string, registered_host> m_hosts;
     std::map<std::string, primary_belief> m_beliefs;
--- a/src/session/takeover_service.cpp
+++ b/src/session/takeover_service.cpp
@@ -193,15 +193,19 @@
             run.paused.push_back({replica, status, stays});
         }
         const bool patience_over = event_loop::now() >= patience;
-        const auto silent = std::count_if(asked.begin(), asked.end(), [&](const auto& replica) {
+        takeover_choice choice;
+        choice.answered = run.paused;
+        choice.acknowledged = acknowledged_by_anyone(run.group);
+        choice.instances = m_directory.group_size(run.group);
+        for (const auto& replica : asked) {
             const bool answered =
                 std::any_of(run.paused.begin(), run.paused.end(),
                             [&](const auto& paused) { return paused.instance == replica; });
             const bool given_up = patience_over && m_router.votes_on(replica).most_are_cut_off();
-            return !answered && !given_up;
-        });
-        const auto chosen = choose_successor(
-            {run.paused, static_cast<std::size_t>(silent), acknowledged_by_anyone(run.group)});
+            choice.given_up += !answered && given_up ? 1 : 0;
+            choice.silent += !answered && !given_up ? 1 : 0;
+        }
+        const auto chosen = choose_successor(choice);
         if (chosen && still_needed(run)) {
             co_return *chosen;
         }
--- a/test/session/fleet_directory_test.cpp
+++ b/test/session/fleet_directory_test.cpp
@@ -65,6 +65,22 @@
             REQUIRE(directory.instance("i") == nullptr);
         }
     }
+    SECTION("counts in its group for a while after it went out of sight") {
+        directory.drop_lapsed(now);
+        REQUIRE(directory.group_size("g") == 2);
+        directory.remove_instance("i", now);
+        directory.drop_lapsed(now + std::chrono::seconds(19));
+        REQUIRE(directory.group_size("g") == 2);
+        directory.drop_lapsed(now + std::chrono::seconds(21));
+        REQUIRE(directory.group_size("g") == 1);
+    }
+    SECTION("does not count while it leaves, as another one has taken its place") {
+        upstream_instance leaving = listed("i");
+        leaving.leaving = true;
+        directory.list_instances({{"i", leaving}, {"j", listed("j")}, {"k", listed("k")}}, now);
+        directory.drop_lapsed(now);
+        REQUIRE(directory.group_size("g") == 2);
+    }
     SECTION("takes no new work while it leaves or its domain is withdrawn") {
         REQUIRE(directory.takes_work(listed("i")));
         upstream_instance leaving = listed("i");
--- a/test/takeover_test.cpp
+++ b/test/takeover_test.cpp
@@ -12,6 +12,15 @@
     return {name, {replication_role::replica, term, {term, offset}, term + 1}, stays};
 }
 
+takeover_choice choice_of(std::vector<paused_replica> answered, std::size_t silent = 0,
+                          log_position acknowledged = {}) {
+    takeover_choice choice;
+    choice.answered = std::move(answered);
+    choice.silent = silent;
+    choice.acknowledged = acknowledged;
+    return choice;
+}
+
 } // namespace
 
 TEST_CASE("a primary is replaced") {
@@ -56,29 +65,43 @@
 
 TEST_CASE("its successor") {
     SECTION("is the replica that has received most") {
-        const auto chosen = choose_successor({{replica("a", 3, 7), replica("b", 3, 9)}, 0, {}});
+        const auto chosen = choose_successor(choice_of({replica("a", 3, 7), replica("b", 3, 9)}));
         REQUIRE(chosen == "b");
     }
     SECTION("is of the newer term, whatever the length of the logs") {
-        const auto chosen = choose_successor({{replica("a", 3, 900), replica("b", 4, 1)}, 0, {}});
+        const auto chosen = choose_successor(choice_of({replica("a", 3, 900), replica("b", 4, 1)}));
         REQUIRE(chosen == "b");
     }
     SECTION("stays, if two have received the same") {
         const auto chosen =
-            choose_successor({{replica("a", 3, 9, false), replica("b", 3, 9, true)}, 0, {}});
+            choose_successor(choice_of({replica("a", 3, 9, false), replica("b", 3, 9, true)}));
         REQUIRE(chosen == "b");
     }
     SECTION("is nobody while a replica is silent") {
         // It may be reached by the old primary, and take part in acknowledging a commit.
-        const takeover_choice choice{{replica("a", 3, 9)}, 1, {}};
+        const takeover_choice choice = choice_of({replica("a", 3, 9)}, 1, {});
+        REQUIRE_FALSE(choose_successor(choice));
+    }
+    SECTION("is nobody while two of three are out of sight: they may serve each other") {
+        takeover_choice choice = choice_of({replica("a", 3, 9)}, 0, {});
+        choice.instances = 3;
         REQUIRE_FALSE(choose_successor(choice));
+        SECTION("until most hosts have given one of them up") {
+            choice.given_up = 1;
+            REQUIRE(choose_successor(choice) == "a");
+        }
+    }
+    SECTION("is there when only the old primary is out of sight") {
+        takeover_choice choice = choice_of({replica("a", 3, 9), replica("b", 3, 8)}, 0, {});
+        choice.instances = 3;
+        REQUIRE(choose_successor(choice) == "a");
     }
     SECTION("is nobody when a known commit is missing everywhere") {
-        const takeover_choice choice{{replica("a", 3, 9)}, 0, {3, 10}};
+        const takeover_choice choice = choice_of({replica("a", 3, 9)}, 0, {3, 10});
         REQUIRE_FALSE(choose_successor(choice));
     }
     SECTION("covers all known commits") {
-        const takeover_choice choice{{replica("a", 3, 9)}, 0, {3, 9}};
+        const takeover_choice choice = choice_of({replica("a", 3, 9)}, 0, {3, 9});
         REQUIRE(choose_successor(choice) == "a");
     }
 }
