A waiting proof is of the instance that it was asked for; hosts known by beats count

Ruled out: a wrong witness (all replicas showed term 2) and the promotion itself (all replicas paused). Change: a question keeps its instance; known hosts are those heard in the last 30 s and, for the first 30 s, the registered ones. Tests red before: upstream_router_test, fleet_test.

--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -4,6 +4,7 @@
 #include "runtime/log.hpp"
 
 #include <random>
+#include <set>
 
 namespace bronzeplank {
 
@@ -113,14 +114,20 @@
     return found;
 }
 
+// Hosts that were registered after this one looked are known by their beats only.
 std::size_t fleet::known_hosts(time_point now) const {
-    std::size_t count = 1;
+    std::set<std::string> known{m_self.host};
     for (const auto& [name, host] : m_directory.hosts()) {
-        const auto peer = m_peers.find(name);
-        const time_point heard = peer == m_peers.end() ? m_started : peer->second.heard;
-        count += name != m_self.host && now - heard < gone_after ? 1 : 0;
+        if (now - m_started < gone_after) {
+            known.insert(name);
+        }
+    }
+    for (const auto& [name, peer] : m_peers) {
+        if (now - peer.heard < gone_after) {
+            known.insert(name);
+        }
     }
-    return std::max(count, live(now).size() + 1);
+    return known.size();
 }
 
 const fleet_peer* fleet::find(const std::string& host) const {
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -209,7 +209,7 @@
         return;
     }
     proof_round& round = m_rounds[group];
-    round.waiting.push_back(std::move(proved));
+    round.waiting.push_back({instance, std::move(proved)});
     if (!round.running) {
         start_round(group, instance);
     }
@@ -220,9 +220,10 @@
     round.running = true;
     auto asking = std::exchange(round.waiting, {});
     ask_witness(group, instance, witnesses(group, instance),
-                [this, group, asking = std::move(asking)](bool proved) {
-                    for (const auto& done : asking) {
-                        done(proved);
+                [this, group, instance, asking = std::move(asking)](bool proved) {
+                    // The primary may have changed since a question was asked of another one.
+                    for (const auto& question : asking) {
+                        question.proved(proved && question.instance == instance);
                     }
                     proof_round& finished = m_rounds[group];
                     finished.running = false;
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -92,9 +92,14 @@
         timer delay;
     };
 
+    struct proof_question {
+        std::string instance;
+        std::function<void(bool)> proved;
+    };
+
     struct proof_round {
         bool running = false;
-        std::vector<std::function<void(bool)>> waiting;
+        std::vector<proof_question> waiting;
     };
 
     void run_sample_round(const std::string& group);
--- a/test/model/lone_host.hpp
+++ b/test/model/lone_host.hpp
@@ -44,6 +44,9 @@
     std::map<std::string, lane_state> lanes;
     std::vector<std::string> asked;
     std::vector<replication_order> orders;
+    /// Instances answer only when the test calls what is held.
+    bool holds_reports = false;
+    std::deque<std::function<void()>> held_reports;
     std::deque<sent_work> sent;
     std::vector<transaction_key> ended;
     std::unique_ptr<session_service> service;
@@ -60,8 +63,15 @@
                                const status_handler& reported) {
             asked.push_back(id);
             orders.push_back(what);
-            const auto found = reports.find(id);
-            reported(found == reports.end() ? std::nullopt : std::optional(found->second));
+            const auto report = [this, id, reported] {
+                const auto found = reports.find(id);
+                reported(found == reports.end() ? std::nullopt : std::optional(found->second));
+            };
+            if (holds_reports) {
+                held_reports.push_back(report);
+            } else {
+                report();
+            }
         };
         gateway.state = [this](const std::string& id) { return std::optional(lanes[id]); };
         router.connect(peers, gateway);
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -155,6 +155,13 @@
         REQUIRE(run_until(loop, [&] { return !second->taken.empty(); }));
         REQUIRE(second->taken.front() == first.known);
     }
+    SECTION("count each other among the known hosts, also after one has died") {
+        REQUIRE(first.peers->known_hosts(event_loop::now()) == 2);
+        second.reset();
+        REQUIRE(run_until(loop, [&] { return first.peers->find("second") == nullptr; }));
+        REQUIRE(first.peers->known_hosts(event_loop::now()) == 2);
+        REQUIRE(first.peers->known_hosts(event_loop::now() + std::chrono::seconds(31)) == 1);
+    }
     SECTION("leave work unanswered, not refused, when the other dies with it") {
         std::optional<statement_answer> answer;
         first.peers->run("second", sound_work(),
--- a/test/session/upstream_router_test.cpp
+++ b/test/session/upstream_router_test.cpp
@@ -84,6 +84,27 @@
     }
 }
 
+TEST_CASE("a proof that waits for the next round is of the instance that it was asked for") {
+    model::lone_host host;
+    host.directory.belief("g").learn("p", 1);
+    host.holds_reports = true;
+    std::optional<bool> first;
+    std::optional<bool> second;
+    host.router.prove("g", "p", [&](bool value) { first = value; });
+    host.router.prove("g", "p", [&](bool value) { second = value; });
+    // Meanwhile "r" has become the primary, and "p" its replica.
+    host.directory.belief("g").learn("r", 2);
+    host.reports["p"] = report_of(replication_role::replica, 2);
+    host.reports["r"] = report_of(replication_role::primary, 2);
+    while (!host.held_reports.empty()) {
+        const auto report = host.held_reports.front();
+        host.held_reports.pop_front();
+        report();
+    }
+    REQUIRE(first == false);
+    REQUIRE(second == false);
+}
+
 TEST_CASE("hosts that are not heard have a vote on an instance") {
     model::lone_host host;
     host.lanes["p"].reachable = false;
