--- a/src/session/takeover_service.cpp
+++ b/src/session/takeover_service.cpp
@@ -163,6 +163,15 @@
     if (!present.claim.finished && now - state.seen_at < claim_respected) {
         co_return false;
     }
+    // While this host was cut off, others may have replaced the primary that it knows.
+    const auto known = m_directory.primary(run.group);
+    const bool newer = present.claim.finished && !present.claim.successor.empty() &&
+                       present.claim.successor != run.old_primary &&
+                       present.claim.term > (known ? known->term : 0);
+    if (newer && m_directory.instance(present.claim.successor) != nullptr) {
+        m_directory.belief(run.group).learn(present.claim.successor, present.claim.term);
+        co_return false;
+    }
     run.term = std::max(m_directory.belief(run.group).newest_term(), present.claim.term) + 1;
     run.lease_end = now + claim_lease;
     const takeover_claim wanted{run.term, m_router.host(), "", false};
@@ -218,6 +227,10 @@
 }
 
 bool takeover_service::still_needed(const run_state& run) const {
+    const auto primary = m_directory.primary(run.group);
+    if ((primary ? primary->instance : "") != run.old_primary) {
+        return false;
+    }
     if (run.reason != takeover_reason::unreachable) {
         return true;
     }
--- a/test/model/lone_host.hpp
+++ b/test/model/lone_host.hpp
@@ -29,6 +29,18 @@
     return {role, term, {term, 27}, paused_by};
 }
 
+/// Services of a host that has nothing to tell.
+inline fleet_services idle_services() {
+    fleet_services idle;
+    idle.lanes = [] { return std::map<std::string, lane_state, std::less<>>(); };
+    idle.demands = [] { return std::map<std::string, double>(); };
+    idle.primaries = [] { return std::map<std::string, known_primary>(); };
+    idle.acknowledged = [] { return std::map<std::string, log_position>(); };
+    idle.copy_directory = [](bool) { return directory_copy(); };
+    idle.platform_lost = [] { return false; };
+    return idle;
+}
+
 struct lone_host {
     struct sent_work {
         upstream_work work;
@@ -39,7 +51,7 @@
     fleet_directory directory;
     upstream_router router{loop, "host", "a", directory};
     // The port is this fixture's own: tests of one program run one after the other.
-    fleet peers{loop, {"host", "a", {"127.0.0.1", 7590}, {}}, directory, {}};
+    fleet peers{loop, {"host", "a", {"127.0.0.1", 7590}, {}}, directory, idle_services()};
     std::map<std::string, replication_status> reports;
     std::map<std::string, lane_state> lanes;
     std::vector<std::string> asked;
--- a/test/process/process_test.py
+++ b/test/process/process_test.py
@@ -222,6 +222,9 @@
     """
     with Deployment(hosts=3) as it:
         wait_until("host 1 serves", lambda: it.query(1, "SELECT 1")[0] == 200)
+        # A group's first primary can't be recorded during the outage.
+        wait_until("host 1 knows the primaries",
+                   lambda: all(group["term"] > 0 for group in it.status(1)["groups"]))
         it.platform(down=True)
         it.cluster("host", "4")
         wait_until("the fresh host is ready", lambda: it.operate(4, "/readyz") == 200)
