--- a/src/edge/http_exchange.cpp
+++ b/src/edge/http_exchange.cpp
@@ -1,6 +1,9 @@
 #include "edge/http_exchange.hpp"
 
+#include "edge/socket_options.hpp"
+
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 
 namespace bronzeplank {
@@ -56,6 +59,11 @@
     evbuffer_add(evhttp_request_get_output_buffer(handle), request.body.data(),
                  request.body.size());
     evhttp_make_request(connection, handle, command_of(request.method), request.path.c_str());
+    if (request.silence > duration::zero()) {
+        // The socket exists only now that the connection has been asked for.
+        set_socket_options(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
+                           request.silence);
+    }
     co_return co_await done;
 }
 
--- a/src/edge/http_exchange.hpp
+++ b/src/edge/http_exchange.hpp
@@ -27,6 +27,8 @@
     std::string path;
     std::map<std::string, std::string> headers;
     std::string body;
+    /// A far end that has vanished for this long ends the connection; 0 leaves it to the system.
+    duration silence{};
 };
 
 /// Sends the request and awaits the answer; it never throws for a peer that fails.
--- a/platform/socket_options.cpp
+++ b/src/edge/socket_options.cpp
@@ -1,11 +1,11 @@
-#include "platform/socket_options.hpp"
+#include "edge/socket_options.hpp"
 
 #include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace bronzeplank::platform {
+namespace bronzeplank {
 
 namespace {
 
@@ -30,4 +30,4 @@
     set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
 }
 
-} // namespace bronzeplank::platform
+} // namespace bronzeplank
--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -89,6 +89,16 @@
     return work;
 }
 
+std::set<std::string> unreachable_from(const fleet_peer& peer) {
+    std::set<std::string> found;
+    for (const auto& [instance, lane] : peer.lanes) {
+        if (!lane.reachable) {
+            found.insert(instance);
+        }
+    }
+    return found;
+}
+
 } // namespace
 
 fleet::fleet(event_loop& loop, identity self, fleet_directory& directory, fleet_services services)
@@ -404,8 +414,11 @@
         log(log_event::peer_joined, {{"host", from}, {"address", beat.peer_address()}});
         m_next_whole = 0;
     }
+    const auto cut_off_before = unreachable_from(peer);
+    m_view += peer.leaving != beat.leaving() || !peer.lives ? 1 : 0;
     peer.host = from;
     peer.incarnation = beat.incarnation();
+    peer.lives = true;
     peer.leaving = beat.leaving();
     peer.configuration_version = beat.configuration_version();
     peer.list_revision = beat.list_revision();
@@ -415,6 +428,7 @@
         peer.lanes[lane.instance()] = {
             lane.reachable(), duration(static_cast<std::int64_t>(lane.wait_us())), lane.stalled()};
     }
+    m_view += unreachable_from(peer) != cut_off_before ? 1 : 0;
     for (const auto& newest : beat.acknowledged()) {
         peer.acknowledged[newest.group()] = {newest.term(), newest.offset()};
     }
@@ -467,7 +481,16 @@
     }
 }
 
+void fleet::look_who_lives(time_point now) {
+    for (auto& [name, peer] : m_peers) {
+        const bool lives = now - peer.heard < peer_silence;
+        m_view += lives != peer.lives ? 1 : 0;
+        peer.lives = lives;
+    }
+}
+
 void fleet::sweep(time_point now) {
+    look_who_lives(now);
     std::vector<call> failed;
     std::erase_if(m_calls, [&](auto& entry) {
         const bool late = entry.second.limit <= now || find(entry.second.host) == nullptr;
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -38,6 +38,8 @@
     std::uint64_t list_revision = 0;
     bool leaving = false;
     time_point heard;
+    /// Whether it was heard lately when the fleet looked last.
+    bool lives = false;
     std::map<std::string, lane_state, std::less<>> lanes;
     /// Operations a second, by workspace.
     std::map<std::string, double, std::less<>> demands;
@@ -92,6 +94,8 @@
     std::vector<const fleet_peer*> live(time_point now) const;
     /// All hosts, this one included, that live or may live where they can't be heard.
     std::size_t known_hosts(time_point now) const;
+    /// A number that changes whenever a peer comes, goes, leaves, or reaches other instances.
+    std::uint64_t view() const { return m_view; }
     /// Null unless the peer lives.
     const fleet_peer* find(const std::string& host) const;
 
@@ -133,6 +137,7 @@
     bool send(const std::string& host, wire::envelope& message);
     void fail(const call& failed, upstream_result result);
     void fail_calls_to(const std::string& host);
+    void look_who_lives(time_point now);
     void tick();
     void sweep(time_point now);
     std::map<std::string, std::string> addresses() const;
@@ -149,6 +154,7 @@
     std::uint64_t m_next_call = 1;
     /// Since when peers know a newer directory.
     std::optional<time_point> m_behind_since;
+    std::uint64_t m_view = 0;
     std::uint64_t m_relayed = 0;
     /// Short beats until the next whole one.
     int m_next_whole = 0;
--- a/src/session/fleet_directory.cpp
+++ b/src/session/fleet_directory.cpp
@@ -38,7 +38,11 @@
         primary_belief& group = m_beliefs[instance.group];
         group.unlearn(instance.id, group.newest_term());
     }
+    if (!known.group.empty() && known.group != instance.group) {
+        m_members[known.group].erase(instance.id);
+    }
     known = instance;
+    m_members[instance.group][instance.id] = instance;
     log(log_event::upstream_listed, {{"instance", instance.id},
                                      {"group", instance.group},
                                      {"address", instance.address.to_text()},
@@ -82,11 +86,25 @@
     }
     for (const auto& [id, since] : m_missing) {
         log(log_event::upstream_gone, {{"instance", id}});
-        m_instances.erase(id);
+        forget(id);
     }
     m_missing.clear();
 }
 
+void fleet_directory::forget(const std::string& id) {
+    const auto found = m_instances.find(id);
+    if (found != m_instances.end()) {
+        m_members[found->second.group].erase(id);
+        m_instances.erase(found);
+    }
+}
+
+const upstream_list& fleet_directory::members(const std::string& group) const {
+    static const upstream_list none;
+    const auto found = m_members.find(group);
+    return found == m_members.end() ? none : found->second;
+}
+
 const upstream_instance* fleet_directory::instance(const std::string& id) const {
     const auto found = m_instances.find(id);
     return found == m_instances.end() ? nullptr : &found->second;
@@ -97,7 +115,7 @@
 }
 
 std::optional<known_primary> fleet_directory::primary(const std::string& group) {
-    return m_beliefs[group].choose(m_instances, group);
+    return m_beliefs[group].choose(members(group), group);
 }
 
 std::optional<std::string> fleet_directory::owner_of(const std::string& credential) const {
--- a/src/session/fleet_directory.hpp
+++ b/src/session/fleet_directory.hpp
@@ -64,6 +64,8 @@
     std::size_t group_size(const std::string& group) const;
 
     const upstream_list& instances() const { return m_instances; }
+    /// The listed instances of one group.
+    const upstream_list& members(const std::string& group) const;
     const upstream_instance* instance(const std::string& id) const;
 
     void withdraw_domains(std::set<std::string> domains) { m_withdrawn = std::move(domains); }
@@ -87,8 +89,12 @@
 private:
     void look_at_sizes(time_point now);
 
+    void forget(const std::string& id);
+
     std::shared_ptr<const fleet_configuration> m_configuration;
     upstream_list m_instances;
+    /// The same instances by group, since statements look at one group only.
+    std::map<std::string, upstream_list, std::less<>> m_members;
     std::map<std::string, time_point> m_missing;
     time_point m_lapses_until{};
     struct seen_size {
--- a/src/session/gateway.hpp
+++ b/src/session/gateway.hpp
@@ -92,13 +92,6 @@
 
     std::uint64_t opened() const { return m_opened_before + opened_now(); }
 
-    /// Closes every connection, as when the process was suspended: what it held is void.
-    void close_all() {
-        for (auto& [id, lane] : m_lanes) {
-            lane->close();
-        }
-    }
-
 private:
     // Coarse enough to cost little, fine enough for time limits of some hundred milliseconds.
     static constexpr std::chrono::milliseconds tick_period{25};
--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -4,6 +4,7 @@
 #include "runtime/log.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace bronzeplank {
 
@@ -14,6 +15,7 @@
 // Groups that nobody reads from need no samples.
 constexpr std::chrono::seconds sampled_after_use{3};
 constexpr std::chrono::milliseconds tick_period{100};
+constexpr std::chrono::seconds limited_told_every{1};
 // The acknowledgement of a withdrawal is older than its arrival here.
 constexpr std::chrono::milliseconds withdrawal_slack{1000};
 // Callers of open databases have no workspace of their own.
@@ -44,8 +46,28 @@
     if (policy == policies.end()) {
         return true;
     }
-    return m_shares[workspace].admit(event_loop::now(), policy->second.rate_per_second,
-                                     policy->second.burst);
+    const bool admitted = m_shares[workspace].admit(
+        event_loop::now(), policy->second.rate_per_second, policy->second.burst);
+    if (!admitted) {
+        ++m_limited[workspace];
+    }
+    return admitted;
+}
+
+// One line for all of them: a workspace over its rate may be refused hundreds of times a second.
+void session_service::tell_limited(time_point now) {
+    if (now - m_limited_told < limited_told_every) {
+        return;
+    }
+    m_limited_told = now;
+    std::string told;
+    for (const auto& [workspace, count] : m_limited) {
+        told += fmt::format("{}{}:{}", told.empty() ? "" : " ", workspace, count);
+    }
+    m_limited.clear();
+    if (!told.empty()) {
+        log(log_event::workspaces_limited, {{"workspaces", told}});
+    }
 }
 
 std::map<std::string, double> session_service::demands() const {
@@ -68,8 +90,8 @@
     }
     const auto primary = m_directory.primary(route.group);
     std::vector<placement_candidate> candidates;
-    for (const auto& [id, instance] : m_directory.instances()) {
-        if (instance.group != route.group || avoided.contains(id)) {
+    for (const auto& [id, instance] : m_directory.members(route.group)) {
+        if (avoided.contains(id)) {
             continue;
         }
         const bool is_primary = primary && primary->instance == id;
@@ -166,6 +188,7 @@
 
 void session_service::tick() {
     const time_point now = event_loop::now();
+    tell_limited(now);
     for (auto& [group, state] : m_groups) {
         const bool due = now - state.sampled >= sample_period;
         if (due && now - state.wanted < sampled_after_use) {
--- a/src/session/session_service.hpp
+++ b/src/session/session_service.hpp
@@ -88,6 +88,7 @@
     void want_samples(const std::string& group);
     void take_sample(const std::string& group);
     void tick();
+    void tell_limited(time_point now);
     bool may_use_primary(const upstream_instance& instance) const;
 
     event_loop& m_loop;
@@ -97,6 +98,9 @@
     withdrawal_bounds m_bounds;
     std::map<std::string, group_state> m_groups;
     std::map<std::string, demand_share> m_shares;
+    /// Operations refused for their workspace's rate since the last line about it.
+    std::map<std::string, int> m_limited;
+    time_point m_limited_told{};
     std::map<std::string, int> m_outstanding;
     /// Since when instances are leaving or withdrawn.
     std::map<std::string, time_point> m_leaving_since;
--- a/src/session/takeover_service.cpp
+++ b/src/session/takeover_service.cpp
@@ -94,8 +94,8 @@
     const auto primary = m_directory.primary(group);
     const takeover_evidence evidence = evidence_on(group, primary);
     // What one host can't reach, all others try, so that there are votes on it.
-    for (const auto& [id, instance] : m_directory.instances()) {
-        if (instance.group == group && m_router.votes_on(id).cut_off > 0) {
+    for (const auto& [id, instance] : m_directory.members(group)) {
+        if (m_router.votes_on(id).cut_off > 0) {
             m_suspected.insert(id);
         }
     }
@@ -119,11 +119,11 @@
     if (reason == takeover_reason::missing) {
         wait += missing_patience;
     }
-    const bool somebody = std::any_of(
-        m_directory.instances().begin(), m_directory.instances().end(), [&](const auto& entry) {
-            return entry.second.group == group && m_directory.takes_work(entry.second) &&
-                   (!primary || entry.first != primary->instance);
-        });
+    const upstream_list& members = m_directory.members(group);
+    const bool somebody = std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+        return m_directory.takes_work(entry.second) &&
+               (!primary || entry.first != primary->instance);
+    });
     if (somebody && now - *state.reason_since >= wait) {
         state.running = true;
         spawn(take_over(group, primary ? primary->instance : "", reason));
@@ -133,8 +133,8 @@
 std::vector<std::string> takeover_service::replicas(const std::string& group,
                                                     const std::string& primary) const {
     std::vector<std::string> found;
-    for (const auto& [id, instance] : m_directory.instances()) {
-        if (instance.group == group && id != primary) {
+    for (const auto& [id, instance] : m_directory.members(group)) {
+        if (id != primary) {
             found.push_back(id);
         }
     }
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-std::ptrdiff_t replicas_listed(const fleet_directory& directory, const std::string& group,
-                               const std::string& primary) {
-    return std::count_if(
-        directory.instances().begin(), directory.instances().end(),
-        [&](const auto& entry) { return entry.second.group == group && entry.first != primary; });
+bool has_replicas(const fleet_directory& directory, const std::string& group,
+                  const std::string& primary) {
+    const upstream_list& members = directory.members(group);
+    return std::any_of(members.begin(), members.end(),
+                       [&](const auto& entry) { return entry.first != primary; });
 }
 
 } // namespace
@@ -37,7 +37,23 @@
     m_gateway = std::move(gateway);
 }
 
+// Asked several times a statement, while hosts rarely come or go.
 std::string upstream_router::gateway_of(const upstream_instance& instance) const {
+    if (m_gateways_view != m_fleet->view()) {
+        m_gateways_view = m_fleet->view();
+        m_gateways.clear();
+    }
+    const auto own = m_gateway.state(instance.id);
+    const bool cut_off_here = own && !own->reachable;
+    gateway_choice& known = m_gateways[instance.id];
+    if (known.host.empty() || known.leaving != m_leaving || known.cut_off_here != cut_off_here) {
+        known = {find_gateway(instance, cut_off_here), m_leaving, cut_off_here};
+    }
+    return known.host;
+}
+
+std::string upstream_router::find_gateway(const upstream_instance& instance,
+                                          bool cut_off_here) const {
     std::vector<gateway_candidate> candidates;
     for (const fleet_peer* peer : m_fleet->live(event_loop::now())) {
         if (!peer->leaving) {
@@ -47,8 +63,7 @@
         }
     }
     if (!m_leaving || candidates.empty()) {
-        const auto own = m_gateway.state(instance.id);
-        candidates.push_back({m_host, m_failure_domain, own && !own->reachable});
+        candidates.push_back({m_host, m_failure_domain, cut_off_here});
     }
     return order_gateways(instance.id, instance.failure_domain, candidates).front();
 }
@@ -186,8 +201,8 @@
 std::vector<std::string> upstream_router::witnesses(const std::string& group,
                                                     const std::string& primary) const {
     std::vector<std::string> found;
-    for (const auto& [id, instance] : m_directory.instances()) {
-        if (instance.group == group && id != primary) {
+    for (const auto& [id, instance] : m_directory.members(group)) {
+        if (id != primary) {
             found.push_back(id);
         }
     }
@@ -258,7 +273,7 @@
     }
     if (witnesses.empty()) {
         const bool alone =
-            replicas_listed(m_directory, group, instance) == 0 && commits_without_replicas(group);
+            !has_replicas(m_directory, group, instance) && commits_without_replicas(group);
         proved(alone);
         return;
     }
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -85,6 +85,13 @@
     // share the next one, which is younger than their questions.
     static constexpr std::chrono::milliseconds sample_spacing{250};
 
+    // A gateway as found last, and what else than the fleet's view it depended on.
+    struct gateway_choice {
+        std::string host;
+        bool leaving = false;
+        bool cut_off_here = false;
+    };
+
     struct sample_round {
         bool scheduled = false;
         time_point started{};
@@ -102,6 +109,7 @@
         std::vector<proof_question> waiting;
     };
 
+    std::string find_gateway(const upstream_instance& instance, bool cut_off_here) const;
     void run_sample_round(const std::string& group);
     void take_sample(const std::string& group, sample_handler sampled);
     void start_round(const std::string& group, const std::string& instance);
@@ -117,6 +125,8 @@
     fleet_directory& m_directory;
     fleet* m_fleet = nullptr;
     local_gateway m_gateway;
+    mutable std::map<std::string, gateway_choice, std::less<>> m_gateways;
+    mutable std::uint64_t m_gateways_view = 0;
     std::map<std::string, proof_round> m_rounds;
     std::map<std::string, sample_round> m_samples;
     bool m_leaving = false;
--- a/test/session/fleet_directory_test.cpp
+++ b/test/session/fleet_directory_test.cpp
@@ -45,6 +45,17 @@
     fleet_directory directory;
     directory.list_instances({{"i", listed("i")}, {"j", listed("j")}}, now);
 
+    SECTION("is a member of its group, and of no other once it says so") {
+        REQUIRE(directory.members("g").size() == 2);
+        upstream_instance moved = listed("i");
+        moved.group = "h";
+        directory.list_instance(moved);
+        REQUIRE(directory.members("g").count("i") == 0);
+        REQUIRE(directory.members("h").at("i") == moved);
+        directory.remove_instance("i", now);
+        REQUIRE(directory.members("h").empty());
+        REQUIRE(directory.members("unheard of").empty());
+    }
     SECTION("that is missing from the list is gone") {
         directory.list_instances({{"j", listed("j")}}, now);
         REQUIRE(directory.instance("i") == nullptr);
