Replicas stay paused until the successor leads, and resume all at once

The platform takes some hundred milliseconds to promote; a replica that started again in that time, or that had been given up and came back, was paused by nobody and could help the old primary to acknowledge a commit that the successor lacks. And an abandoned promotion resumed its replicas one after the other, each behind a call of up to half a second, so that the lease could end with one of them still paused: such a replica confirms no read at the primary.

Ruled out: asking only once more before the order to promote, which leaves the time until the promotion takes effect open.

Change: while the successor does not lead yet, every other replica is paused again at each poll; afterwards each is resumed until it follows the new term and is not paused. An abandoned promotion resumes its replicas at once.

Test: takeover_service_test, "is replaced while a replica is given up, which is paused when it comes back": red before, green after.

--- a/src/session/takeover_service.cpp
+++ b/src/session/takeover_service.cpp
@@ -255,6 +255,7 @@
         }
     }
     while (event_loop::now() < limit) {
+        keep_paused(run, successor);
         const auto status = co_await order(successor, replication_order::report, 0);
         if (status && status->role == replication_role::primary) {
             co_return true;
@@ -264,6 +265,28 @@
     co_return false;
 }
 
+// The platform takes its time to promote. A replica that starts again meanwhile, or that was given
+// up and comes back, would help the old primary to acknowledge what the successor lacks.
+void takeover_service::keep_paused(const run_state& run, const std::string& successor) {
+    if (!in_lease(run)) {
+        return;
+    }
+    for (const auto& replica : replicas(run.group, run.old_primary)) {
+        if (replica != successor) {
+            m_router.order(replica, replication_order::pause, run.term,
+                           [](const std::optional<replication_status>&) {});
+        }
+    }
+}
+
+// All at once: a replica that stays paused confirms no read at the primary.
+void takeover_service::resume_paused(const run_state& run) {
+    for (const auto& replica : run.paused) {
+        m_router.order(replica.instance, replication_order::resume, 0,
+                       [](const std::optional<replication_status>&) {});
+    }
+}
+
 // The others follow the new primary before the old one is demoted: a replica that shows the new
 // term is what tells readers of the old primary that it leads no more.
 task<void> takeover_service::settle(run_state& run, std::string successor) {
@@ -274,11 +297,11 @@
         if (replica == successor) {
             continue;
         }
-        co_await order(replica, replication_order::resume, 0);
         bool follows = false;
         while (!follows && event_loop::now() < limit) {
-            const auto status = co_await order(replica, replication_order::report, 0);
-            follows = status && status->term >= term;
+            // Repeated, as one of the promotion's own orders to pause may arrive late.
+            const auto status = co_await order(replica, replication_order::resume, 0);
+            follows = status && status->term >= term && status->paused_by <= term;
             if (!follows) {
                 co_await sleep_for(m_loop, poll_period);
             }
@@ -329,11 +352,8 @@
                                                  {"in_lease", in_lease(run) ? "true" : "false"}});
             // A successor may yet be promoted by an order that is on its way: then its replicas
             // stay paused until the next attempt.
-            const bool harmless = successor.empty();
-            for (const auto& replica : run.paused) {
-                if (harmless && in_lease(run)) {
-                    co_await order(replica.instance, replication_order::resume, 0);
-                }
+            if (successor.empty() && in_lease(run)) {
+                resume_paused(run);
             }
         }
     }
--- a/src/session/takeover_service.hpp
+++ b/src/session/takeover_service.hpp
@@ -92,6 +92,8 @@
     task<bool> claim(run_state& run);
     task<std::string> pause_and_choose(run_state& run);
     task<bool> promote(run_state& run, std::string successor);
+    void resume_paused(const run_state& run);
+    void keep_paused(const run_state& run, const std::string& successor);
     task<void> settle(run_state& run, std::string successor);
     task<std::optional<replication_status>> order(std::string instance, replication_order what,
                                                   std::uint64_t term);
--- a/test/session/takeover_service_test.cpp
+++ b/test/session/takeover_service_test.cpp
@@ -16,6 +16,7 @@
     stored_claim stored;
     std::vector<takeover_claim> written;
     std::vector<std::string> promoted;
+    bool promotes_at_once = true;
     std::unique_ptr<takeover_service> service;
 
     takeover_in_test() {
@@ -36,7 +37,9 @@
         platform.promote = [this](std::string, std::string instance,
                                   std::uint64_t) -> task<promotion_result> {
             promoted.push_back(instance);
-            host.reports[instance] = report_of(replication_role::primary, 2);
+            if (promotes_at_once) {
+                host.reports[instance] = report_of(replication_role::primary, 2);
+            }
             co_return promotion_result::done;
         };
         service = std::make_unique<takeover_service>(host.loop, host.directory, host.router,
@@ -58,6 +61,23 @@
         REQUIRE(test.written[1] == takeover_claim{2, "host", "r", true});
         REQUIRE(test.host.directory.primary("g") == known_primary{"r", 2});
     }
+    SECTION("is replaced while a replica is given up, which is paused when it comes back") {
+        test.host.directory.list_instance(model::listed_instance("s", false));
+        test.host.lanes["s"].reachable = false;
+        test.promotes_at_once = false;
+        test.service->start();
+        REQUIRE(test.host.run_until([&] { return !test.promoted.empty(); }));
+        const std::size_t before = test.host.orders.size();
+        test.host.reports["s"] = report_of(replication_role::replica, 1);
+        REQUIRE(test.host.run_until([&] {
+            for (std::size_t i = before; i < test.host.orders.size(); ++i) {
+                if (test.host.asked[i] == "s") {
+                    return test.host.orders[i] == replication_order::pause;
+                }
+            }
+            return false;
+        }));
+    }
     SECTION("that has been replaced already, unknown to this host, is left alone") {
         test.stored = {true, 5, {2, "other", "r", true}};
         test.service->start();
