--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -38,6 +38,7 @@
     connection_refused = 1803,
     upstream_listed = 1804,
     upstream_gone = 1805,
+    entry_unreadable = 1806,
     workspaces_limited = 1901,
     process_suspended = 2001,
     settings_read = 2002,
--- /dev/null
+++ b/test/platform/store_standin.hpp
@@ -0,0 +1,237 @@
+/// \file
+/// The platform's object store as its pages describe it, in the test's own loop: lists, watches,
+/// conditional writes, and the ways in which it fails.
+#pragma once
+
+#include "bronzeplank/internal/json_reader.hpp"
+#include "bronzeplank/settings.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <cstdint>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bronzeplank::model {
+
+class store_standin {
+public:
+    /// How calls are answered.
+    enum class mood {
+        usual,
+        /// 503, nothing done.
+        busy,
+        /// No answer, nothing done.
+        silent,
+        /// Writes are done; nobody hears of it.
+        forgets_to_answer
+    };
+
+    // The port is this fixture's own: tests that listen run one after the other.
+    static constexpr std::uint16_t port = 7595;
+
+    explicit store_standin(event_loop& loop) : m_loop(loop), m_server(evhttp_new(loop.base())) {
+        evhttp_set_gencb(m_server, &store_standin::on_request, this);
+        evhttp_bind_socket(m_server, "127.0.0.1", port);
+    }
+    ~store_standin() { evhttp_free(m_server); }
+    store_standin(const store_standin&) = delete;
+    store_standin& operator=(const store_standin&) = delete;
+
+    static endpoint address() { return {"127.0.0.1", port}; }
+
+    void write(const std::string& kind, const std::string& name, const std::string& spec) {
+        m_objects[kind][name] = {++m_revision, spec};
+        change(kind, name, false);
+    }
+    void remove(const std::string& kind, const std::string& name) {
+        ++m_revision;
+        m_objects[kind].erase(name);
+        change(kind, name, true);
+    }
+    /// Watches from before this moment are answered with 410.
+    void forget_history() {
+        m_oldest = m_revision + 1;
+        m_changes.clear();
+    }
+    /// Ends the watches that wait, without an event.
+    void cut_watches() {
+        for (const auto& watch : std::exchange(m_watches, {})) {
+            evhttp_send_error(watch.request, 503, nullptr);
+        }
+    }
+
+    std::uint64_t revision() const { return m_revision; }
+
+    mood present = mood::usual;
+    /// Objects that one answer to a list holds.
+    std::size_t page = 500;
+    int calls = 0;
+
+    const std::string& spec(const std::string& kind, const std::string& name) {
+        return m_objects[kind][name].spec;
+    }
+    bool has(const std::string& kind, const std::string& name) {
+        return m_objects[kind].contains(name);
+    }
+
+private:
+    struct object {
+        std::uint64_t revision = 0;
+        std::string spec;
+    };
+    struct changed {
+        std::uint64_t revision = 0;
+        std::string kind;
+        std::string event;
+    };
+    struct watch {
+        evhttp_request* request = nullptr;
+        std::string kind;
+        std::uint64_t from = 0;
+    };
+
+    static std::string text_of(const std::string& name, const object& stored) {
+        return fmt::format(R"({{"meta":{{"Name":"{}","Revision":{}}},"spec":{}}})", name,
+                           stored.revision, stored.spec);
+    }
+
+    void change(const std::string& kind, const std::string& name, bool deleted) {
+        const object gone{m_revision, "{}"};
+        const object& now = deleted ? gone : m_objects[kind][name];
+        m_changes.push_back(
+            {m_revision, kind,
+             fmt::format(R"({{"Object":{},"Deleted":{}}})", text_of(name, now), deleted)});
+        if (present != mood::usual) {
+            return;
+        }
+        for (const auto& waiting : std::exchange(m_watches, {})) {
+            answer_watch(waiting);
+        }
+    }
+
+    static void answer(evhttp_request* request, int status, const std::string& body) {
+        evbuffer* buffer = evbuffer_new();
+        evbuffer_add(buffer, body.data(), body.size());
+        evhttp_send_reply(request, status, nullptr, buffer);
+        evbuffer_free(buffer);
+    }
+
+    void answer_watch(const watch& waiting) {
+        if (waiting.from + 1 < m_oldest) {
+            answer(waiting.request, 410, "{}");
+            return;
+        }
+        std::string events;
+        for (const auto& change : m_changes) {
+            if (change.kind == waiting.kind && change.revision > waiting.from) {
+                events += (events.empty() ? "" : ",") + change.event;
+            }
+        }
+        if (events.empty()) {
+            m_watches.push_back(waiting);
+            return;
+        }
+        answer(waiting.request, 200,
+               fmt::format(R"({{"events":[{}],"AsOf":{}}})", events, m_revision));
+    }
+
+    void answer_list(evhttp_request* request, const std::string& kind, const std::string& after) {
+        std::string items;
+        std::size_t count = 0;
+        bool more = false;
+        for (const auto& [name, stored] : m_objects[kind]) {
+            if (name <= after) {
+                continue;
+            }
+            more = count == page;
+            if (more) {
+                break;
+            }
+            items += (count++ == 0 ? "" : ",") + text_of(name, stored);
+        }
+        answer(request, 200,
+               fmt::format(R"({{"items":[{}],"More":{},"AsOf":{}}})", items, more, m_revision));
+    }
+
+    void answer_write(evhttp_request* request, const std::string& kind, std::string name,
+                      const std::string& body) {
+        const rapidjson::Document read = internal::parse_json(body);
+        const bool creates = name.empty();
+        if (creates) {
+            name = read["meta"]["Name"].GetString();
+        }
+        const auto found = m_objects[kind].find(name);
+        const bool exists = found != m_objects[kind].end();
+        const bool matches = exists && read["meta"].HasMember("Revision") &&
+                             read["meta"]["Revision"].GetUint64() == found->second.revision;
+        if (creates ? exists : !matches) {
+            answer(request, exists ? 409 : 404, exists ? text_of(name, found->second) : "{}");
+            return;
+        }
+        write(kind, name, internal::to_text(read["spec"]));
+        if (present != mood::forgets_to_answer) {
+            answer(request, 200, text_of(name, m_objects[kind][name]));
+        }
+    }
+
+    static void on_request(evhttp_request* request, void* self) {
+        static_cast<store_standin*>(self)->serve(request);
+    }
+
+    void serve(evhttp_request* request) {
+        ++calls;
+        if (present == mood::busy) {
+            evhttp_send_error(request, 503, nullptr);
+            return;
+        }
+        if (present == mood::silent) {
+            return;
+        }
+        evbuffer* input = evhttp_request_get_input_buffer(request);
+        std::string body(evbuffer_get_length(input), '\0');
+        evbuffer_copyout(input, body.data(), body.size());
+        const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
+        const std::string path = std::string(evhttp_uri_get_path(uri)).substr(9);
+        const auto slash = path.find('/');
+        const std::string kind = path.substr(0, slash);
+        const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+        if (evhttp_request_get_command(request) != EVHTTP_REQ_GET) {
+            answer_write(request, kind, name, body);
+        } else if (!name.empty()) {
+            const bool found = m_objects[kind].contains(name);
+            answer(request, found ? 200 : 404, found ? text_of(name, m_objects[kind][name]) : "{}");
+        } else {
+            serve_kind(request, kind, evhttp_uri_get_query(uri));
+        }
+    }
+
+    void serve_kind(evhttp_request* request, const std::string& kind, const char* query) {
+        evkeyvalq fields{};
+        evhttp_parse_query_str(query == nullptr ? "" : query, &fields);
+        const auto field = [&](const char* name) {
+            const char* value = evhttp_find_header(&fields, name);
+            return std::string(value == nullptr ? "" : value);
+        };
+        if (const std::string from = field("Watch"); !from.empty()) {
+            answer_watch({request, kind, std::stoull(from)});
+        } else {
+            answer_list(request, kind, field("after"));
+        }
+        evhttp_clear_headers(&fields);
+    }
+
+    event_loop& m_loop;
+    evhttp* m_server;
+    std::map<std::string, std::map<std::string, object>> m_objects;
+    std::vector<changed> m_changes;
+    std::vector<watch> m_watches;
+    std::uint64_t m_revision = 100;
+    std::uint64_t m_oldest = 0;
+};
+
+} // namespace bronzeplank::model
