The lane's connection and its strict answers are parts of their own

No behaviour changed: a session's values and prepared names are kept where the connection is. Tests of lane, session, router and takeover pass unchanged.

--- a/src/session/upstream_lane.hpp
+++ b/src/session/upstream_lane.hpp
@@ -3,35 +3,18 @@
 #pragma once
 
 #include "bronzeplank/fleet_configuration.hpp"
-#include "bronzeplank/work_queue.hpp"
 #include "runtime/event_loop.hpp"
 #include "runtime/log.hpp"
-#include "session/upstream_work.hpp"
+#include "session/lane_connection.hpp"
+#include "session/strict_answer.hpp"
 
 #include <algorithm>
-#include <concepts>
 #include <list>
 #include <map>
 #include <memory>
 
 namespace bronzeplank {
 
-/// A connection to an instance on behalf of one workspace. Requests are answered in their order;
-/// when the connection ends, each unanswered one gets `unanswered`, and then `closed` is called.
-template <class Link>
-concept upstream_link = requires(Link link, const statement& what, const std::string& text,
-                                 const statement_shape& shape, std::optional<log_position> position,
-                                 answer_handler answered, status_handler reported) {
-    link.clear_session();
-    link.set_value(text, text);
-    link.prepare(text, shape);
-    link.begin(true, position, answered);
-    link.rollback();
-    link.run(what, text, position, answered);
-    link.order(replication_order::pause, std::uint64_t{}, reported);
-    link.close();
-};
-
 /// How a lane uses its instance.
 struct lane_limits {
     /// Connections of this lane, its control connection included.
@@ -47,10 +30,6 @@
     bool operator==(const lane_limits&) const = default;
 };
 
-/// Proves that the instance is the group's primary at some time after the call.
-using primary_proof = std::function<void(const std::string& group, const std::string& instance,
-                                         std::function<void(bool)>)>;
-
 /// Runs work at one instance. A connection belongs to one workspace; a transaction keeps its
 /// connection from its first statement to its end. No more statements run at a time than the
 /// instance has slots, and one more, so that a slot doesn't rest for a round trip.
@@ -187,13 +166,15 @@
     /// Closes connections that nothing uses, as when another host became the gateway.
     void close_idle() {
         for (auto& link : m_links) {
-            if (link->ready && !link->running && !link->transaction) {
+            if (link->idle()) {
                 drop(*link);
             }
         }
     }
 
 private:
+    using connection = lane_connection<Link>;
+
     // A switch to another primary takes less than this; afterwards writes go on as before.
     static constexpr std::chrono::milliseconds hold_limit{1500};
     // What still runs after this does not end soon.
@@ -208,67 +189,6 @@
     // Longer than a statement's time limit, after which the next write has to show it anew.
     static constexpr std::chrono::milliseconds stall_remembered{1500};
 
-    struct waiting_work {
-        upstream_work work;
-        answer_handler answered;
-        work_urgency urgency;
-        time_point arrived{};
-    };
-
-    struct connection {
-        std::unique_ptr<Link> link;
-        std::string workspace;
-        session_values values;
-        std::map<statement_shape, std::string> prepared;
-        std::optional<transaction_key> transaction;
-        bool ready = false;
-        bool running = false;
-        /// What runs changes data, or commits changes.
-        bool writing = false;
-        bool gone = false;
-        time_point used;
-        time_point started;
-        time_point limit;
-        /// What the connection was opened for.
-        std::optional<waiting_work> first;
-        /// What runs, until it is answered.
-        answer_handler answered;
-    };
-
-    // The parts of a strict read's answer, of which the later one delivers it.
-    struct strict_answer {
-        std::optional<statement_answer> answer;
-        std::optional<bool> proved;
-        answer_handler answered;
-
-        void deliver_if_whole() {
-            if (!answer || !answered) {
-                return;
-            }
-            const auto deliver = std::exchange(answered, nullptr);
-            if (answer->result != upstream_result::done || proved == true) {
-                deliver(*answer);
-            } else if (proved == false) {
-                deliver({upstream_result::behind, {}, {}, {}});
-            } else {
-                answered = deliver;
-            }
-        }
-    };
-
-    answer_handler with_proof(const std::string& group, answer_handler answered) {
-        auto whole = std::make_shared<strict_answer>();
-        whole->answered = std::move(answered);
-        m_prove(group, m_instance.id, [whole](bool proved) {
-            whole->proved = proved;
-            whole->deliver_if_whole();
-        });
-        return [whole](const statement_answer& answer) {
-            whole->answer = answer;
-            whole->deliver_if_whole();
-        };
-    }
-
     void report_when_held() {
         if (!m_when_held) {
             return;
@@ -367,17 +287,13 @@
 
     std::shared_ptr<connection> idle_link(const std::string& workspace) {
         for (const auto& link : m_links) {
-            if (link->workspace == workspace && is_idle(*link)) {
+            if (link->workspace == workspace && link->idle()) {
                 return link;
             }
         }
         return nullptr;
     }
 
-    static bool is_idle(const connection& link) {
-        return link.ready && !link.running && !link.gone && !link.transaction;
-    }
-
     // The idle connection that is missed least: of the workspace that has most, the oldest one.
     std::shared_ptr<connection> least_needed() {
         std::map<std::string_view, int> held;
@@ -389,7 +305,7 @@
             const auto missed = [&](const connection& other) {
                 return std::pair(-held[other.workspace], other.used);
             };
-            if (is_idle(*link) && (!chosen || missed(*link) < missed(*chosen))) {
+            if (link->idle() && (!chosen || missed(*link) < missed(*chosen))) {
                 chosen = link;
             }
         }
@@ -513,9 +429,10 @@
         link->used = now;
         link->limit = now + work.work.time_left;
         link->writing = !work.work.read_only_work && work.work.what.kind != statement_kind::read;
-        link->answered = work.work.strict ? with_proof(work.work.group, std::move(work.answered))
+        link->answered = work.work.strict ? with_proof(m_prove, work.work.group, m_instance.id,
+                                                       std::move(work.answered))
                                           : std::move(work.answered);
-        apply_values(*link, work.work.values);
+        link->apply_values(work.work.values);
         if (!work.work.opens_transaction) {
             send(link, work.work, work.work.transaction ? std::nullopt : work.work.at_least);
             return;
@@ -539,7 +456,7 @@
     void send(const std::shared_ptr<connection>& link, const upstream_work& work,
               const std::optional<log_position>& at_least) {
         const std::string prepared =
-            work.what.kind == statement_kind::execute ? prepare(*link, work.what.shape) : "";
+            work.what.kind == statement_kind::execute ? link->prepare(work.what.shape) : "";
         const bool ends = work.what.kind == statement_kind::commit;
         link->link->run(work.what, prepared, at_least,
                         [this, link, ends](const statement_answer& answer) {
@@ -549,37 +466,6 @@
                         });
     }
 
-    // A connection has exactly the session's values when its statement runs.
-    static void apply_values(connection& link, const session_values& wanted) {
-        const auto keeps = [&](const auto& held) {
-            return std::any_of(wanted.begin(), wanted.end(),
-                               [&](const auto& value) { return value.first == held.first; });
-        };
-        if (!std::all_of(link.values.begin(), link.values.end(), keeps)) {
-            link.link->clear_session();
-            link.values.clear();
-            link.prepared.clear();
-        }
-        for (const auto& value : wanted) {
-            if (std::find(link.values.begin(), link.values.end(), value) == link.values.end()) {
-                link.link->set_value(value.first, value.second);
-            }
-        }
-        link.values = wanted;
-    }
-
-    // Sessions share one prepared statement a shape, whatever they call it.
-    static std::string prepare(connection& link, const statement_shape& shape) {
-        const auto found = link.prepared.find(shape);
-        if (found != link.prepared.end()) {
-            return found->second;
-        }
-        const std::string name = "s" + std::to_string(link.prepared.size() + 1);
-        link.link->prepare(name, shape);
-        link.prepared.emplace(shape, name);
-        return name;
-    }
-
     void finish(const std::shared_ptr<connection>& link, const statement_answer& answer,
                 bool ends) {
         const time_point now = event_loop::now();
