What a cut held back, or an earlier start had sent, is not acted on

Cause: hosts numbered calls and transactions from 1 at each start. By the same way an old statement could run, an old order to resume could undo a later pause, and an old beat could pass for a sign of life.

Change: calls and transactions start from the process's incarnation; each message carries it and the time of sending; peer_clock tells how late a message is without a common clock. Late statements, orders and beats and everything of an earlier start are dropped, logged (1503) and counted.

--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -33,6 +33,7 @@
     log_event_row{log_event::key_withdrawn, "key_withdrawn", "info"},
     log_event_row{log_event::peer_joined, "peer_joined", "info"},
     log_event_row{log_event::peer_lost, "peer_lost", "warning"},
+    log_event_row{log_event::peer_message_dropped, "peer_message_dropped", "info"},
     log_event_row{log_event::request_failed, "request_failed", "warning"},
     log_event_row{log_event::write_superseded, "write_superseded", "warning"},
     log_event_row{log_event::operation_refused, "operation_refused", "info"},
--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -28,6 +28,7 @@
     key_withdrawn = 1401,
     peer_joined = 1501,
     peer_lost = 1502,
+    peer_message_dropped = 1503,
     request_failed = 1701,
     write_superseded = 1702,
     operation_refused = 1703,
--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -25,9 +25,21 @@
 // A relayed statement's answer may take as long as its own limit and a round trip.
 constexpr std::chrono::milliseconds relay_slack{50};
 
-std::uint64_t new_incarnation() {
+// A beat that was held up for longer says nothing about now. Hosts with little processor time may
+// take half a second to read one.
+constexpr std::chrono::milliseconds beat_counts{1000};
+// Enough to recognize what a cut or a slow connection may still bring.
+constexpr std::size_t remembered_incarnations = 8;
+// A million calls fit between two neighbouring incarnations.
+constexpr unsigned first_call_shift = 20;
+
+std::uint32_t new_incarnation() {
     std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+    std::uint32_t value = 0;
+    while (value == 0) {
+        value = device();
+    }
+    return value;
 }
 
 void write_work(const upstream_work& work, wire::upstream_work& into) {
@@ -105,6 +117,9 @@
     : m_loop(loop), m_self(std::move(self)), m_directory(directory),
       m_services(std::move(services)), m_incarnation(new_incarnation()),
       m_started(event_loop::now()),
+      // Calls of two starts of a host share no numbers, so that an answer can't reach the wrong
+      // one.
+      m_next_call((static_cast<std::uint64_t>(m_incarnation) << first_call_shift) + 1),
       m_bus(loop, m_self.peers, [this](const wire::envelope& message) { receive(message); }) {}
 
 void fleet::start() {
@@ -159,10 +174,17 @@
     if (found == m_peers.end()) {
         return false;
     }
-    message.set_from(m_self.host);
+    sign(message);
     return m_bus.send(found->second.address, message);
 }
 
+void fleet::sign(wire::envelope& message) const {
+    message.set_from(m_self.host);
+    message.set_incarnation(m_incarnation);
+    const auto now = to_milliseconds(event_loop::now().time_since_epoch());
+    message.set_sent_ms(static_cast<std::uint64_t>(now));
+}
+
 void fleet::run(const std::string& host, const upstream_work& work, answer_handler answered) {
     wire::envelope message;
     write_work(work, *message.mutable_work());
@@ -210,13 +232,57 @@
     expect(host, small_call_limit, {{}, {}, nullptr, nullptr, std::move(sampled)});
 }
 
+// Nothing for what an earlier start of the sender sent.
+std::optional<duration> fleet::lateness_of(const wire::envelope& message) {
+    sender& known = m_senders[message.from()];
+    if (known.earlier.contains(message.incarnation())) {
+        return std::nullopt;
+    }
+    if (known.incarnation != message.incarnation()) {
+        if (known.earlier.size() >= remembered_incarnations) {
+            known.earlier.clear();
+        }
+        if (known.incarnation != 0) {
+            known.earlier.insert(known.incarnation);
+        }
+        known.incarnation = message.incarnation();
+        known.clock = {};
+    }
+    const time_point sent{std::chrono::milliseconds(message.sent_ms())};
+    return known.clock.lateness(sent, event_loop::now());
+}
+
+// Whether it is not too late for the message to be of use, or to do no harm.
+bool fleet::acts_on(const wire::envelope& message, duration late) {
+    switch (message.payload_case()) {
+    case wire::envelope::kFleet:
+        return late < beat_counts;
+    case wire::envelope::kWork:
+        return late < duration(message.work().time_left_us());
+    case wire::envelope::kReplication:
+    case wire::envelope::kSample:
+        return late < small_call_limit;
+    default:
+        return true;
+    }
+}
+
 void fleet::receive(const wire::envelope& message) {
+    const auto late = lateness_of(message);
+    if (!late || !acts_on(message, *late)) {
+        ++m_dropped;
+        log(log_event::peer_message_dropped,
+            {{"host", message.from()},
+             {"kind", std::to_string(message.payload_case())},
+             {"late_ms", late ? std::to_string(to_milliseconds(*late)) : "of an earlier start"}});
+        return;
+    }
     switch (message.payload_case()) {
     case wire::envelope::kFleet:
-        hear(message.from(), message.fleet());
+        hear(message.from(), message.incarnation(), message.fleet());
         break;
     case wire::envelope::kWork:
-        serve_work(message.from(), message);
+        serve_work(message.from(), message, *late);
         break;
     case wire::envelope::kEnd:
         m_services.end_transaction(message.end().instance(),
@@ -239,22 +305,24 @@
     }
 }
 
-void fleet::serve_work(const std::string& from, const wire::envelope& message) {
+void fleet::serve_work(const std::string& from, const wire::envelope& message, duration late) {
     const std::uint64_t id = message.work().id();
-    m_services.run(read_work(from, message.work()),
-                   [this, from, id](const statement_answer& answer) {
-                       wire::envelope reply;
-                       auto* written = reply.mutable_work_answer();
-                       written->set_id(id);
-                       written->set_result(static_cast<std::uint32_t>(answer.result));
-                       for (const auto& row : answer.rows) {
-                           written->add_rows(row);
-                       }
-                       written->set_signature(answer.signature);
-                       written->set_term(answer.position.term);
-                       written->set_offset(answer.position.offset);
-                       send(from, reply);
-                   });
+    upstream_work work = read_work(from, message.work());
+    work.time_left -= late;
+    work.objective_left = std::max(duration(0), work.objective_left - late);
+    m_services.run(std::move(work), [this, from, id](const statement_answer& answer) {
+        wire::envelope reply;
+        auto* written = reply.mutable_work_answer();
+        written->set_id(id);
+        written->set_result(static_cast<std::uint32_t>(answer.result));
+        for (const auto& row : answer.rows) {
+            written->add_rows(row);
+        }
+        written->set_signature(answer.signature);
+        written->set_term(answer.position.term);
+        written->set_offset(answer.position.offset);
+        send(from, reply);
+    });
 }
 
 void fleet::serve_order(const std::string& from, const wire::envelope& message) {
@@ -402,22 +470,22 @@
     }
 }
 
-void fleet::hear(const std::string& from, const wire::fleet_beat& beat) {
+void fleet::hear(const std::string& from, std::uint32_t incarnation, const wire::fleet_beat& beat) {
     const auto known = m_peers.find(from);
     // A beat that is not whole does not say where its sender listens.
     if (from == m_self.host || (known == m_peers.end() && !beat.whole())) {
         return;
     }
     fleet_peer& peer = m_peers[from];
-    const bool started_again = peer.incarnation != 0 && peer.incarnation != beat.incarnation();
-    if (peer.incarnation != beat.incarnation()) {
+    const bool started_again = peer.incarnation != 0 && peer.incarnation != incarnation;
+    if (peer.incarnation != incarnation) {
         log(log_event::peer_joined, {{"host", from}, {"address", beat.peer_address()}});
         m_next_whole = 0;
     }
     const auto cut_off_before = unreachable_from(peer);
     m_view += peer.leaving != beat.leaving() || !peer.lives ? 1 : 0;
     peer.host = from;
-    peer.incarnation = beat.incarnation();
+    peer.incarnation = incarnation;
     peer.lives = true;
     peer.leaving = beat.leaving();
     peer.configuration_version = beat.configuration_version();
@@ -525,9 +593,8 @@
 
 void fleet::beat() {
     wire::envelope message;
-    message.set_from(m_self.host);
+    sign(message);
     auto* beat = message.mutable_fleet();
-    beat->set_incarnation(m_incarnation);
     beat->set_leaving(m_leaving);
     const directory_copy own = m_services.copy_directory(false);
     beat->set_configuration_version(own.configuration_version);
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -2,6 +2,7 @@
 /// The other session hosts: who lives, what they reach, and work that is handed to them.
 #pragma once
 
+#include "bronzeplank/peer_clock.hpp"
 #include "edge/peer_bus.hpp"
 #include "session/fleet_directory.hpp"
 #include "session/upstream_work.hpp"
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +35,7 @@
     std::string host;
     std::string failure_domain;
     std::string address;
-    std::uint64_t incarnation = 0;
+    std::uint32_t incarnation = 0;
     std::uint64_t configuration_version = 0;
     std::uint64_t list_revision = 0;
     bool leaving = false;
@@ -67,7 +69,9 @@
 
 /// Exchanges beats with every known host and relays work. A peer that has been silent for
 /// `peer_silence`, or has started again, answers nothing any more: what it was asked is
-/// unanswered. A call to a peer that isn't connected is `unsent`.
+/// unanswered. A call to a peer that isn't connected is `unsent`. What a cut has held up for longer
+/// than its sender waits is not acted on, nor is what an earlier start of a peer had sent; an
+/// answer reaches only the call that it belongs to, not one of a later start of this host.
 class fleet {
 public:
     struct identity {
@@ -110,7 +114,12 @@
     void beat();
     void leave();
 
+    /// Tells one start of this process from the others; never 0.
+    std::uint32_t incarnation() const { return m_incarnation; }
+
     std::uint64_t relayed() const { return m_relayed; }
+    /// Messages that came too late to be acted on.
+    std::uint64_t dropped() const { return m_dropped; }
     std::uint64_t bytes_sent() const { return m_bus.bytes_sent(); }
 
 private:
@@ -122,11 +131,19 @@
         sample_handler sampled;
     };
 
+    struct sender {
+        std::uint32_t incarnation = 0;
+        std::set<std::uint32_t> earlier;
+        peer_clock clock;
+    };
+
     void receive(const wire::envelope& message);
-    void hear(const std::string& from, const wire::fleet_beat& beat);
+    std::optional<duration> lateness_of(const wire::envelope& message);
+    bool acts_on(const wire::envelope& message, duration late);
+    void hear(const std::string& from, std::uint32_t incarnation, const wire::fleet_beat& beat);
     void hear_whole(fleet_peer& peer, const wire::fleet_beat& beat);
     void write_changes(wire::fleet_beat& beat);
-    void serve_work(const std::string& from, const wire::envelope& message);
+    void serve_work(const std::string& from, const wire::envelope& message, duration late);
     void serve_order(const std::string& from, const wire::envelope& message);
     void serve_sample(const std::string& from, const wire::envelope& message);
     void serve_directory(const std::string& from);
@@ -135,6 +152,7 @@
     void finish(const wire::envelope& message);
     std::uint64_t expect(const std::string& host, duration limit, call handlers);
     bool send(const std::string& host, wire::envelope& message);
+    void sign(wire::envelope& message) const;
     void fail(const call& failed, upstream_result result);
     void fail_calls_to(const std::string& host);
     void look_who_lives(time_point now);
@@ -146,12 +164,14 @@
     identity m_self;
     fleet_directory& m_directory;
     fleet_services m_services;
-    std::uint64_t m_incarnation;
+    std::uint32_t m_incarnation;
     time_point m_started;
     bool m_leaving = false;
     std::map<std::string, fleet_peer> m_peers;
     std::map<std::uint64_t, call> m_calls;
-    std::uint64_t m_next_call = 1;
+    std::uint64_t m_next_call;
+    std::map<std::string, sender> m_senders;
+    std::uint64_t m_dropped = 0;
     /// Since when peers know a newer directory.
     std::optional<time_point> m_behind_since;
     std::uint64_t m_view = 0;
--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::seconds sampled_after_use{3};
 constexpr std::chrono::milliseconds tick_period{100};
 constexpr std::chrono::seconds limited_told_every{1};
+// A thousand million transactions fit between two neighbouring incarnations.
+constexpr unsigned transaction_shift = 30;
 // The acknowledgement of a withdrawal is older than its arrival here.
 constexpr std::chrono::milliseconds withdrawal_slack{1000};
 // Callers of open databases have no workspace of their own.
@@ -25,7 +27,9 @@
 
 session_service::session_service(event_loop& loop, fleet_directory& directory,
                                  upstream_router& router, fleet& peers, withdrawal_bounds bounds)
-    : m_loop(loop), m_directory(directory), m_router(router), m_fleet(peers), m_bounds(bounds) {
+    : m_loop(loop), m_directory(directory), m_router(router), m_fleet(peers), m_bounds(bounds),
+      // A gateway may still hold transactions of an earlier start of this host.
+      m_last_transaction(static_cast<std::uint64_t>(peers.incarnation()) << transaction_shift) {
     tick();
 }
 
--- a/src/session/session_service.hpp
+++ b/src/session/session_service.hpp
@@ -104,7 +104,7 @@
     std::map<std::string, int> m_outstanding;
     /// Since when instances are leaving or withdrawn.
     std::map<std::string, time_point> m_leaving_since;
-    std::uint64_t m_last_transaction = 0;
+    std::uint64_t m_last_transaction;
     timer m_tick;
 };
 
