A host without a configuration says so, not that the database is unknown

Callers don't try that again.

Change: without a configuration a session is refused as busy, which is a true promise that nothing ran, and may be tried elsewhere.

Test: caller_session_test, red before.

--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -39,11 +39,7 @@
 }
 
 void caller_session::open() const {
-    const database_route* route = m_service.directory().route(m_database);
-    if (route == nullptr) {
-        throw request_error(error_kind::not_found, "no route serves this database");
-    }
-    m_service.authenticate(*route, m_credential);
+    m_service.authenticate(m_service.route_of(m_database), m_credential);
 }
 
 void caller_session::end() {
@@ -103,15 +99,12 @@
 }
 
 void caller_session::start_operation(bool read_only) {
-    const database_route* route = m_service.directory().route(m_database);
-    if (route == nullptr) {
-        throw request_error(error_kind::not_found, "no route serves this database");
-    }
-    const std::string workspace = m_service.authenticate(*route, m_credential);
+    const database_route& route = m_service.route_of(m_database);
+    const std::string workspace = m_service.authenticate(route, m_credential);
     if (!m_service.admit(workspace)) {
         throw request_error(error_kind::rate_limited, "the workspace has used up its rate");
     }
-    m_operation = {*route, workspace, read_only, std::nullopt, std::nullopt, false};
+    m_operation = {route, workspace, read_only, std::nullopt, std::nullopt, false};
 }
 
 void caller_session::begin(const statement& asked) {
--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -33,6 +33,17 @@
     tick();
 }
 
+const database_route& session_service::route_of(const std::string& database) const {
+    if (!m_directory.configuration()) {
+        throw request_error(error_kind::platform_unavailable, "no configuration has been read yet");
+    }
+    const database_route* route = m_directory.route(database);
+    if (route == nullptr) {
+        throw request_error(error_kind::not_found, "no route serves this database");
+    }
+    return *route;
+}
+
 std::string session_service::authenticate(const database_route& route,
                                           const std::string& credential) const {
     if (const auto owner = m_directory.owner_of(credential)) {
--- a/src/session/session_service.hpp
+++ b/src/session/session_service.hpp
@@ -45,7 +45,9 @@
     session_service(event_loop& loop, fleet_directory& directory, upstream_router& router,
                     fleet& peers, withdrawal_bounds bounds);
 
-    const fleet_directory& directory() const { return m_directory; }
+    /// The route that serves the database. \throws request_error when there is none, or when this
+    /// host has no configuration yet and can't know.
+    const database_route& route_of(const std::string& database) const;
 
     /// The workspace of the credential. \throws request_error when the route does not admit it.
     std::string authenticate(const database_route& route, const std::string& credential) const;
--- a/test/session/caller_session_test.cpp
+++ b/test/session/caller_session_test.cpp
@@ -56,6 +56,24 @@
 
 } // namespace
 
+TEST_CASE("a session is opened at a host that has no configuration yet") {
+    lone_host host;
+    fleet_directory unaware;
+    session_service service(host.loop, unaware, host.router, host.peers, withdrawal_bounds{});
+    const auto session = std::make_shared<caller_session>(service, "own", "key");
+
+    SECTION("and is told to come again, not that its database is unknown") {
+        try {
+            session->open();
+            FAIL("expected a refusal");
+        } catch (const request_error& error) {
+            REQUIRE(error.kind() == error_kind::platform_unavailable);
+            REQUIRE(error.outcome() == run_outcome::not_run);
+            REQUIRE(answer_for(error.kind()).retry_helps);
+        }
+    }
+}
+
 TEST_CASE("a session is opened") {
     lone_host host;
     const auto open = [&](const char* database, const char* key) {
