An abandoned promotion releases its claim; replicas resume side by side

At 14.02 the dead primary's entry lapsed, the reason changed from unreachable to missing, and the patience for a primary that may come back began anew. After the promotion the writes stalled and two more promotions followed (17.60 and 18.41): replicas were resumed one after the other under one limit, which a silent one used up, so that the last was never resumed.

Change: a claim of which no order to promote is on its way is released at once; a primary that could not be reached before its entry lapsed gets no further patience (takeover_delay, pure); every replica is resumed at each poll until it follows, beside the others.

Tests: two sections of takeover_service_test, red before; takeover_test for the delay.

--- a/include/bronzeplank/takeover.hpp
+++ b/include/bronzeplank/takeover.hpp
@@ -46,6 +46,11 @@
 /// agree.
 takeover_reason why_take_over(const takeover_evidence& evidence);
 
+/// How long a host watches a reason before it claims the next term.
+/// \param before why the primary was to be replaced until the reason changed
+/// \param rank the host's place in the group's order of hosts, from 0
+duration takeover_delay(takeover_reason reason, takeover_reason before, int rank);
+
 /// A replica's answer to the order that stops it from receiving.
 struct paused_replica {
     std::string instance;
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -24,6 +24,16 @@
     return evidence.leaving ? takeover_reason::leaving : takeover_reason::none;
 }
 
+duration takeover_delay(takeover_reason reason, takeover_reason before, int rank) {
+    // Each place in the order waits this much longer, so that rarely two claim a term.
+    constexpr std::chrono::milliseconds stagger{300};
+    // A primary that is missing from the list may be about to say that it is one; one that could
+    // not be reached before its entry lapsed is not.
+    constexpr std::chrono::milliseconds missing_patience{1500};
+    const bool patient = reason == takeover_reason::missing && before == takeover_reason::none;
+    return stagger * rank + (patient ? duration(missing_patience) : duration(0));
+}
+
 std::optional<std::string> choose_successor(const takeover_choice& choice) {
     const auto received = [](const paused_replica& replica) { return replica.status.received; };
     const auto best = std::max_element(
--- a/src/session/takeover_service.cpp
+++ b/src/session/takeover_service.cpp
@@ -10,10 +10,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_period{50};
-// Each place in the order of hosts waits this much longer, so that rarely two claim a term.
-constexpr std::chrono::milliseconds stagger{300};
-// A primary that is missing from the list may be about to say that it is one.
-constexpr std::chrono::milliseconds missing_patience{1500};
 constexpr std::chrono::milliseconds pause_between_attempts{500};
 constexpr std::chrono::milliseconds silent_replica_patience{500};
 constexpr std::chrono::milliseconds poll_period{30};
@@ -101,7 +97,7 @@
     }
     const takeover_reason reason = why_take_over(evidence);
     if (reason != state.reason) {
-        state.reason = reason;
+        state.reason_before = std::exchange(state.reason, reason);
         state.reason_since = now;
         if (reason != takeover_reason::none) {
             log(log_event::primary_suspected, {{"group", group},
@@ -115,10 +111,7 @@
         !m_platform.reachable()) {
         return;
     }
-    duration wait = stagger * rank(group);
-    if (reason == takeover_reason::missing) {
-        wait += missing_patience;
-    }
+    const duration wait = takeover_delay(reason, state.reason_before, rank(group));
     const upstream_list& members = m_directory.members(group);
     const bool somebody = std::any_of(members.begin(), members.end(), [&](const auto& entry) {
         return m_directory.takes_work(entry.second) &&
@@ -287,26 +280,37 @@
     }
 }
 
-// The others follow the new primary before the old one is demoted: a replica that shows the new
-// term is what tells readers of the old primary that it leads no more.
-task<void> takeover_service::settle(run_state& run, std::string successor) {
-    m_fleet.beat();
-    const std::uint64_t term = m_directory.belief(run.group).newest_term();
+// Each is resumed until it follows the term and is not paused, as one of the promotion's own orders
+// to pause may arrive late. One that is silent holds up no other.
+task<void> takeover_service::let_follow(run_state& run, std::string successor, std::uint64_t term) {
     const time_point limit = event_loop::now() + follow_limit;
+    auto others = std::make_shared<std::set<std::string>>();
     for (const auto& replica : replicas(run.group, run.old_primary)) {
-        if (replica == successor) {
-            continue;
+        if (replica != successor) {
+            others->insert(replica);
         }
-        bool follows = false;
-        while (!follows && event_loop::now() < limit) {
-            // Repeated, as one of the promotion's own orders to pause may arrive late.
-            const auto status = co_await order(replica, replication_order::resume, 0);
-            follows = status && status->term >= term && status->paused_by <= term;
-            if (!follows) {
-                co_await sleep_for(m_loop, poll_period);
-            }
+    }
+    while (!others->empty() && event_loop::now() < limit) {
+        const std::set<std::string> asked = *others;
+        for (const auto& replica : asked) {
+            m_router.order(
+                replica, replication_order::resume, 0,
+                [others, replica, term](const std::optional<replication_status>& status) {
+                    if (status && status->term >= term && status->paused_by <= term) {
+                        others->erase(replica);
+                    }
+                });
         }
+        co_await sleep_for(m_loop, poll_period);
     }
+}
+
+// The others follow the new primary before the old one is demoted: a replica that shows the new
+// term is what tells readers of the old primary that it leads no more.
+task<void> takeover_service::settle(run_state& run, std::string successor) {
+    m_fleet.beat();
+    const std::uint64_t term = m_directory.belief(run.group).newest_term();
+    co_await let_follow(run, successor, term);
     if (!run.old_primary.empty() && m_directory.instance(run.old_primary) != nullptr) {
         co_await order(run.old_primary, replication_order::demote, term);
     }
@@ -354,6 +358,9 @@
             // stay paused until the next attempt.
             if (successor.empty() && in_lease(run)) {
                 resume_paused(run);
+                // Nothing of this claim is on its way: the next one need not wait for its lease.
+                const takeover_claim released{run.term, m_router.host(), "", true};
+                co_await m_platform.write(run.group, run.token, released);
             }
         }
     }
--- a/src/session/takeover_service.hpp
+++ b/src/session/takeover_service.hpp
@@ -67,6 +67,7 @@
     struct group_state {
         std::optional<time_point> reason_since;
         takeover_reason reason = takeover_reason::none;
+        takeover_reason reason_before = takeover_reason::none;
         bool running = false;
         time_point not_before{};
         std::uint64_t seen_revision = 0;
@@ -94,6 +95,7 @@
     task<bool> promote(run_state& run, std::string successor);
     void resume_paused(const run_state& run);
     void keep_paused(const run_state& run, const std::string& successor);
+    task<void> let_follow(run_state& run, std::string successor, std::uint64_t term);
     task<void> settle(run_state& run, std::string successor);
     task<std::optional<replication_status>> order(std::string instance, replication_order what,
                                                   std::uint64_t term);
--- a/test/model/lone_host.hpp
+++ b/test/model/lone_host.hpp
@@ -99,6 +99,15 @@
                              [](const std::string&, request_class, std::string_view, duration) {}};
     }
 
+    bool was_ordered(const std::string& id, replication_order what) const {
+        for (std::size_t i = 0; i < orders.size(); ++i) {
+            if (asked[i] == id && orders[i] == what) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     void configure(std::uint64_t version, const std::string& key) {
         auto configuration = std::make_shared<fleet_configuration>();
         configuration->version = version;
--- a/test/session/takeover_service_test.cpp
+++ b/test/session/takeover_service_test.cpp
@@ -78,6 +78,24 @@
             return false;
         }));
     }
+    SECTION("is replaced, and every replica resumes although one stays silent") {
+        for (const char* id : {"s", "t"}) {
+            test.host.directory.list_instance(model::listed_instance(id, false));
+        }
+        test.host.lanes["s"].reachable = false;
+        test.host.reports["t"] = report_of(replication_role::replica, 1);
+        test.service->start();
+        REQUIRE(test.host.run_until([&] { return test.written.size() == 2; }));
+        REQUIRE(test.host.was_ordered("t", replication_order::resume));
+    }
+    SECTION("is tried again at once by this host when nobody could be promoted") {
+        test.host.reports.erase("r");
+        test.service->start();
+        REQUIRE(test.host.run_until([&] { return test.written.size() >= 2; }));
+        REQUIRE(test.written[1] == takeover_claim{2, "host", "", true});
+        test.host.reports["r"] = report_of(replication_role::replica, 1);
+        REQUIRE(test.host.run_until([&] { return !test.promoted.empty(); }));
+    }
     SECTION("that has been replaced already, unknown to this host, is left alone") {
         test.stored = {true, 5, {2, "other", "r", true}};
         test.service->start();
--- a/test/takeover_test.cpp
+++ b/test/takeover_test.cpp
@@ -131,3 +131,19 @@
         }
     });
 }
+
+TEST_CASE("the time before a host claims the next term") {
+    using enum takeover_reason;
+    const auto delay = takeover_delay;
+
+    SECTION("grows with its place in the group's order") {
+        REQUIRE(delay(unreachable, none, 0) == duration(0));
+        REQUIRE(delay(unreachable, none, 2) > delay(unreachable, none, 1));
+    }
+    SECTION("lets a primary that is only missing from the list come back") {
+        REQUIRE(delay(missing, none, 0) >= std::chrono::seconds(1));
+    }
+    SECTION("is not spent again when a dead primary's entry lapses") {
+        REQUIRE(delay(missing, unreachable, 0) == duration(0));
+    }
+}
