Reads move away from instances that look healthy and fail or hang part of their work

Cause: nothing counted what statements find.

Change: a gateway keeps a fading share of its latest statements that failed or hang (failure_share, pure; a hang counts before its time limit), tells it in its beats, and place_read adds it as a cost, so that no group can run out of instances. The instance is tried again as the share fades.

--- a/include/bronzeplank/work_placement.hpp
+++ b/include/bronzeplank/work_placement.hpp
@@ -21,6 +21,8 @@
     /// Work that this host has sent there and has no answer to.
     int outstanding = 0;
     int slots = 1;
+    /// The share of its latest statements that failed or hang, from 0 to 1.
+    double failing = 0;
     bool operator==(const placement_candidate&) const = default;
 };
 
@@ -32,12 +34,16 @@
     duration other_domain = std::chrono::milliseconds(25);
     /// Writes can be served nowhere else.
     duration primary = std::chrono::milliseconds(20);
+    /// What a statement that fails or hangs takes from its caller.
+    duration failure = std::chrono::milliseconds(400);
     bool operator==(const placement_costs&) const = default;
 };
 
 /// Answers uneven load on the replicas, which several hosts share without seeing each other's
-/// work: the least cost wins, where each candidate costs its expected wait and what it takes
-/// from others. Nothing without candidates. Equal costs go to the first candidate.
+/// work, and instances that look healthy and fail part of their statements: the least cost wins,
+/// where each candidate costs its expected wait, what it takes from others, and its share of
+/// failures. Since that is a cost and no ban, a group in which all fail is still used. Nothing
+/// without candidates. Equal costs go to the first candidate.
 std::optional<std::string> place_read(const std::vector<placement_candidate>& candidates,
                                       const placement_costs& costs);
 
--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -20,6 +20,8 @@
 constexpr int beats_between_whole = 2;
 // Shorter waits move no read elsewhere.
 constexpr std::chrono::milliseconds shortest_told_wait{2};
+// In percent; single failures move no read elsewhere.
+constexpr std::uint32_t least_told_failing = 3;
 // Less than one operation in two seconds claims no part of a rate.
 constexpr double least_told_demand = 0.5;
 // A relayed statement's answer may take as long as its own limit and a round trip.
@@ -493,8 +495,9 @@
     peer.heard = event_loop::now();
     peer.lanes.clear();
     for (const auto& lane : beat.lanes()) {
-        peer.lanes[lane.instance()] = {
-            lane.reachable(), duration(static_cast<std::int64_t>(lane.wait_us())), lane.stalled()};
+        peer.lanes[lane.instance()] = {lane.reachable(),
+                                       duration(static_cast<std::int64_t>(lane.wait_us())),
+                                       lane.stalled(), lane.failing_percent() / 100.0};
     }
     m_view += unreachable_from(peer) != cut_off_before ? 1 : 0;
     for (const auto& newest : beat.acknowledged()) {
@@ -602,13 +605,16 @@
     beat->set_whole(m_next_whole == 0);
     m_next_whole = m_next_whole == 0 ? beats_between_whole : m_next_whole - 1;
     for (const auto& [instance, state] : m_services.lanes()) {
-        if (state.reachable && !state.stalled && state.wait < shortest_told_wait) {
+        const auto failing = static_cast<std::uint32_t>(state.failing * 100);
+        if (state.reachable && !state.stalled && state.wait < shortest_told_wait &&
+            failing < least_told_failing) {
             continue;
         }
         auto* lane = beat->add_lanes();
         lane->set_instance(instance);
         lane->set_reachable(state.reachable);
         lane->set_stalled(state.stalled);
+        lane->set_failing_percent(failing);
         lane->set_wait_us(
             static_cast<std::uint64_t>(std::max<duration::rep>(0, state.wait.count())));
     }
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -27,6 +27,8 @@
     duration wait{};
     /// A write has run there for much longer than any should.
     bool stalled = false;
+    /// The share of its latest statements that failed or hang, from 0 to 1.
+    double failing = 0;
     bool operator==(const lane_state&) const = default;
 };
 
--- a/src/session/lane_connection.hpp
+++ b/src/session/lane_connection.hpp
@@ -36,6 +36,8 @@
     bool running = false;
     /// What runs changes data, or commits changes.
     bool writing = false;
+    /// What runs has taken far longer than usual, which has been counted.
+    bool hangs = false;
     bool gone = false;
     time_point used;
     time_point started;
--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -116,7 +116,7 @@
         if (usable && state.reachable) {
             candidates.push_back({id, is_primary,
                                   instance.failure_domain == m_router.failure_domain(), state.wait,
-                                  m_outstanding[id], instance.slots});
+                                  m_outstanding[id], instance.slots, state.failing});
         }
     }
     const auto chosen = bronzeplank::place_read(candidates, {});
--- a/src/session/upstream_lane.hpp
+++ b/src/session/upstream_lane.hpp
@@ -2,6 +2,7 @@
 /// One gateway's connections to one instance, and the work that waits for it.
 #pragma once
 
+#include "bronzeplank/failure_share.hpp"
 #include "bronzeplank/fleet_configuration.hpp"
 #include "runtime/event_loop.hpp"
 #include "runtime/log.hpp"
@@ -126,6 +127,7 @@
         probe(now, watch);
         report_when_held();
         notice_stall(now);
+        notice_hanging(now);
         std::erase_if(m_links, [](const auto& link) { return link->gone; });
         if (m_control && m_control_gone) {
             m_control.reset();
@@ -133,6 +135,9 @@
         pump();
     }
 
+    /// The share of its latest statements that failed or hang.
+    double failing() const { return m_failures.at(event_loop::now()); }
+
     const upstream_instance& instance() const { return m_instance; }
     /// Takes over what changed, such as a state, the number of slots, or who is the gateway.
     void update(const upstream_instance& instance, const lane_limits& limits) {
@@ -184,6 +189,9 @@
 
     // About twice what opening a connection takes.
     static constexpr std::chrono::milliseconds opening_patience{30};
+    // No statement takes this long on an instance that is well.
+    static constexpr std::chrono::milliseconds shortest_hang{150};
+    static constexpr int hang_factor = 10;
     // An instance that takes no more connections is not asked for one in this time.
     static constexpr std::chrono::milliseconds full_remembered{100};
     // Longer than a statement's time limit, after which the next write has to show it anew.
@@ -424,6 +432,7 @@
     void start(const std::shared_ptr<connection>& link, waiting_work work) {
         const time_point now = event_loop::now();
         link->running = true;
+        link->hangs = false;
         ++m_running;
         link->started = now;
         link->used = now;
@@ -475,6 +484,9 @@
             link->prepared.clear();
         }
         const bool done = answer.result == upstream_result::done;
+        if (!link->hangs) {
+            m_failures.note(!went_wrong(answer.result), now);
+        }
         if (done && link->writing) {
             m_stalled_until = time_point{};
         }
@@ -500,6 +512,23 @@
         }
     }
 
+    // Refusals are the instance's right; what ran to no good end is not.
+    static bool went_wrong(upstream_result result) {
+        return result == upstream_result::failed || result == upstream_result::timed_out ||
+               result == upstream_result::unanswered;
+    }
+
+    // A statement that hangs counts before its time limit, while others can still go elsewhere.
+    void notice_hanging(time_point now) {
+        const duration usual = std::max<duration>(shortest_hang, m_work_time * hang_factor);
+        for (const auto& link : m_links) {
+            if (link->running && !link->gone && !link->hangs && now - link->started > usual) {
+                link->hangs = true;
+                m_failures.note(false, now);
+            }
+        }
+    }
+
     void learn_work_time(duration taken) {
         // An eighth of each new value: some twenty answers change the estimate fully.
         m_work_time += (taken - m_work_time) / 8;
@@ -595,6 +624,7 @@
     int m_running = 0;
     std::uint64_t m_opened = 0;
     duration m_work_time = std::chrono::milliseconds(15);
+    failure_share m_failures;
     time_point m_heard{};
     time_point m_used{};
     time_point m_asked_last{};
--- a/test/session/upstream_lane_test.cpp
+++ b/test/session/upstream_lane_test.cpp
@@ -304,6 +304,31 @@
     }
 }
 
+TEST_CASE("an instance that answers its probes and does its work badly") {
+    lane_in_test test;
+    test.run(read_for("desk", "read a"));
+    test.far.accept(0);
+    REQUIRE(test.lane->failing() == 0);
+
+    SECTION("shows by statements that fail") {
+        test.far.answer(0, {upstream_result::failed, {}, {}, {}});
+        REQUIRE(test.lane->failing() > 0.05);
+    }
+    SECTION("shows by a statement that hangs, long before its time limit, and once") {
+        test.lane->tick(event_loop::now() + milliseconds(100), false);
+        REQUIRE(test.lane->failing() == 0);
+        test.lane->tick(event_loop::now() + milliseconds(400), false);
+        const double after_one = test.lane->failing();
+        REQUIRE(after_one > 0.05);
+        test.lane->tick(event_loop::now() + milliseconds(600), false);
+        REQUIRE(test.lane->failing() <= after_one);
+    }
+    SECTION("does not show by a refusal, which is its right") {
+        test.far.answer(0, {upstream_result::behind, {}, {}, {}});
+        REQUIRE(test.lane->failing() == 0);
+    }
+}
+
 TEST_CASE("a primary whose writes do not end") {
     lane_in_test test;
     test.run(write_for("desk", "write a"));
--- a/test/work_placement_test.cpp
+++ b/test/work_placement_test.cpp
@@ -31,6 +31,18 @@
         primary.outstanding = 8;
         REQUIRE(chosen() == "far");
     }
+    SECTION("away from an instance that fails a third of its statements, whatever its wait") {
+        near.failing = 0.3;
+        REQUIRE(chosen() == "primary");
+        primary.reported_wait = milliseconds(60);
+        REQUIRE(chosen() == "far");
+    }
+    SECTION("not away for a single failure, and somewhere when all fail") {
+        near.failing = 0.05;
+        REQUIRE(chosen() == "near");
+        near.failing = far.failing = primary.failing = 1;
+        REQUIRE(chosen() == "near");
+    }
     SECTION("to the primary only when every replica is much fuller") {
         near.reported_wait = milliseconds(15);
         far.reported_wait = milliseconds(15);
