Beats are paced by the number of hosts; a peer that owes an answer is asked for one

Weighed: datagrams for beats (fewer system calls, the same bytes; a silent connection for work would no longer show), digests by a speaker in each failure domain (fewest bytes; two more hops to fail), fast beats only to hosts that hand work over (here all do). Taken: the period grows with the hosts, 200 ms up to 12, 1 s from 60 on, so that a host hears some sixty beats a second; each beat says its period. What is dead is found in use: a peer that leaves a call without any message for 250 ms is asked to beat, and counts as dead after 650 ms. News (leaving, reach) go at once, as before.

Also: votes on an instance and demands are summed once a change, not for each instance 20 times a second; a beat is written once, not once a peer.

The late beat's section now looks at what the beat says, as any message is a sign of life; one more section shows that a late message is none.

--- a/src/edge/peer_bus.cpp
+++ b/src/edge/peer_bus.cpp
@@ -95,7 +95,17 @@
 }
 
 bool peer_bus::send(const std::string& address, const wire::envelope& message) {
+    return send_bytes(address, message.SerializeAsString());
+}
+
+void peer_bus::send_all(const std::set<std::string>& addresses, const wire::envelope& message) {
     const std::string bytes = message.SerializeAsString();
+    for (const auto& address : addresses) {
+        send_bytes(address, bytes);
+    }
+}
+
+bool peer_bus::send_bytes(const std::string& address, const std::string& bytes) {
     zmq::message_t frame(bytes.data(), bytes.size());
     const auto sent = m_sockets->to(address).send(frame, zmq::send_flags::dontwait);
     m_bytes_sent += sent ? bytes.size() : 0;
--- a/src/edge/peer_bus.hpp
+++ b/src/edge/peer_bus.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace bronzeplank::wire {
@@ -31,6 +32,9 @@
     /// Sends the message; false when it was dropped at once.
     bool send(const std::string& address, const wire::envelope& message);
 
+    /// Sends the same message to several peers; those that are away miss it.
+    void send_all(const std::set<std::string>& addresses, const wire::envelope& message);
+
     /// Closes the connection to a peer that is gone.
     void forget(const std::string& address);
 
@@ -40,6 +44,7 @@
     struct sockets;
 
     void drain();
+    bool send_bytes(const std::string& address, const std::string& bytes);
 
     event_loop& m_loop;
     handler m_received;
--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -32,6 +32,14 @@
 constexpr std::chrono::milliseconds beat_counts{1000};
 // Enough to recognize what a cut or a slow connection may still bring.
 constexpr std::size_t remembered_incarnations = 8;
+// Most statements are answered within this time.
+constexpr std::chrono::milliseconds doubted_after{250};
+// Beats that tell of news at once keep this distance.
+constexpr std::chrono::milliseconds least_beat_distance{50};
+// With longer periods every beat is whole.
+constexpr std::chrono::milliseconds whole_beat_period{600};
+constexpr std::chrono::milliseconds directory_period{200};
+constexpr std::chrono::milliseconds tick_period{50};
 // A million calls fit between two neighbouring incarnations.
 constexpr unsigned first_call_shift = 20;
 
@@ -103,7 +111,7 @@
     return work;
 }
 
-std::set<std::string> unreachable_from(const fleet_peer& peer) {
+std::set<std::string> cut_off_instances(const fleet_peer& peer) {
     std::set<std::string> found;
     for (const auto& [instance, lane] : peer.lanes) {
         if (!lane.reachable) {
@@ -134,7 +142,7 @@
 std::vector<const fleet_peer*> fleet::live(time_point now) const {
     std::vector<const fleet_peer*> found;
     for (const auto& [name, peer] : m_peers) {
-        if (now - peer.heard < peer_silence) {
+        if (peer.alive(now)) {
             found.push_back(&peer);
         }
     }
@@ -159,14 +167,14 @@
 
 const fleet_peer* fleet::find(const std::string& host) const {
     const auto found = m_peers.find(host);
-    const bool lives =
-        found != m_peers.end() && event_loop::now() - found->second.heard < peer_silence;
+    const bool lives = found != m_peers.end() && found->second.alive(event_loop::now());
     return lives ? &found->second : nullptr;
 }
 
 std::uint64_t fleet::expect(const std::string& host, duration limit, call handlers) {
     handlers.host = host;
-    handlers.limit = event_loop::now() + limit;
+    handlers.sent = event_loop::now();
+    handlers.limit = handlers.sent + limit;
     m_calls.emplace(m_next_call, std::move(handlers));
     return m_next_call++;
 }
@@ -196,7 +204,8 @@
         return;
     }
     ++m_relayed;
-    expect(host, work.time_left + relay_slack, {{}, {}, std::move(answered), nullptr, nullptr});
+    expect(host, work.time_left + relay_slack,
+           {{}, {}, {}, false, std::move(answered), nullptr, nullptr});
 }
 
 void fleet::end_transaction(const std::string& host, const std::string& instance,
@@ -220,7 +229,7 @@
         reported(std::nullopt);
         return;
     }
-    expect(host, small_call_limit, {{}, {}, nullptr, std::move(reported), nullptr});
+    expect(host, small_call_limit, {{}, {}, {}, false, nullptr, std::move(reported), nullptr});
 }
 
 void fleet::sample(const std::string& host, const std::string& group, sample_handler sampled) {
@@ -231,7 +240,7 @@
         sampled(std::nullopt);
         return;
     }
-    expect(host, small_call_limit, {{}, {}, nullptr, nullptr, std::move(sampled)});
+    expect(host, small_call_limit, {{}, {}, {}, false, nullptr, nullptr, std::move(sampled)});
 }
 
 // Nothing for what an earlier start of the sender sent.
@@ -279,6 +288,13 @@
              {"late_ms", late ? std::to_string(to_milliseconds(*late)) : "of an earlier start"}});
         return;
     }
+    // Any message is a sign of life.
+    if (const auto peer = m_peers.find(message.from());
+        peer != m_peers.end() && peer->second.incarnation == message.incarnation() &&
+        *late < beat_counts) {
+        peer->second.heard = event_loop::now();
+        peer->second.owes_answer = false;
+    }
     switch (message.payload_case()) {
     case wire::envelope::kFleet:
         hear(message.from(), message.incarnation(), message.fleet());
@@ -299,6 +315,9 @@
     case wire::envelope::kDirectory:
         serve_directory(message.from());
         break;
+    case wire::envelope::kBeatAsked:
+        beat_to(message.from());
+        break;
     case wire::envelope::kDirectoryAnswer:
         take_directory(message);
         break;
@@ -483,8 +502,9 @@
     if (peer.incarnation != incarnation) {
         log(log_event::peer_joined, {{"host", from}, {"address", beat.peer_address()}});
         m_next_whole = 0;
+        beat_soon();
     }
-    const auto cut_off_before = unreachable_from(peer);
+    const auto cut_off_before = cut_off_instances(peer);
     m_view += peer.leaving != beat.leaving() || !peer.lives ? 1 : 0;
     peer.host = from;
     peer.incarnation = incarnation;
@@ -493,13 +513,16 @@
     peer.configuration_version = beat.configuration_version();
     peer.list_revision = beat.list_revision();
     peer.heard = event_loop::now();
+    peer.owes_answer = false;
+    const duration period = std::chrono::milliseconds(beat.period_ms());
+    peer.silence = silence_for(std::max<duration>(period, shortest_beat_period));
     peer.lanes.clear();
     for (const auto& lane : beat.lanes()) {
         peer.lanes[lane.instance()] = {lane.reachable(),
                                        duration(static_cast<std::int64_t>(lane.wait_us())),
                                        lane.stalled(), lane.failing_percent() / 100.0};
     }
-    m_view += unreachable_from(peer) != cut_off_before ? 1 : 0;
+    m_view += cut_off_instances(peer) != cut_off_before ? 1 : 0;
     for (const auto& newest : beat.acknowledged()) {
         peer.acknowledged[newest.group()] = {newest.term(), newest.offset()};
     }
@@ -554,13 +577,34 @@
 
 void fleet::look_who_lives(time_point now) {
     for (auto& [name, peer] : m_peers) {
-        const bool lives = now - peer.heard < peer_silence;
+        const bool lives = peer.alive(now);
         m_view += lives != peer.lives ? 1 : 0;
         peer.lives = lives;
     }
 }
 
+// Beats of a large fleet are rare: a peer that owes an answer and has said nothing since is asked
+// for a sign of life, and counts as dead when that does not come either.
+void fleet::doubt_silent_peers(time_point now) {
+    for (auto& [id, waiting] : m_calls) {
+        const auto found = m_peers.find(waiting.host);
+        if (found == m_peers.end() || found->second.heard >= waiting.sent) {
+            continue;
+        }
+        const duration waited = now - waiting.sent;
+        if (waited >= unanswered_silence) {
+            found->second.owes_answer = true;
+        } else if (waited >= doubted_after && !waiting.doubted) {
+            waiting.doubted = true;
+            wire::envelope message;
+            message.mutable_beat_asked();
+            send(waiting.host, message);
+        }
+    }
+}
+
 void fleet::sweep(time_point now) {
+    doubt_silent_peers(now);
     look_who_lives(now);
     std::vector<call> failed;
     std::erase_if(m_calls, [&](auto& entry) {
@@ -576,34 +620,76 @@
     m_sweep = m_loop.after(sweep_period, [this] { sweep(event_loop::now()); });
 }
 
-std::map<std::string, std::string> fleet::addresses() const {
-    std::map<std::string, std::string> known;
+std::set<std::string> fleet::addresses() const {
+    std::set<std::string> known;
     for (const auto& seed : m_self.known_peers) {
-        known[seed.to_text()] = "";
+        known.insert(seed.to_text());
     }
     for (const auto& [name, host] : m_directory.hosts()) {
-        known[host.peers.to_text()] = name;
+        known.insert(host.peers.to_text());
     }
-    const time_point now = event_loop::now();
     for (const auto& [name, peer] : m_peers) {
-        if (now - peer.heard < peer_silence) {
-            known[peer.address] = name;
+        if (peer.lives) {
+            known.insert(peer.address);
         }
     }
     known.erase(m_self.peers.to_text());
     return known;
 }
 
+int fleet::unreachable_from(const std::string& instance) const {
+    if (m_unreachable_view != m_view) {
+        m_unreachable_view = m_view;
+        m_unreachable.clear();
+        for (const auto& [name, peer] : m_peers) {
+            for (const auto& [id, lane] : peer.lanes) {
+                m_unreachable[id] += peer.lives && !lane.reachable ? 1 : 0;
+            }
+        }
+    }
+    const auto found = m_unreachable.find(instance);
+    return found == m_unreachable.end() ? 0 : found->second;
+}
+
 void fleet::beat() {
+    const time_point now = event_loop::now();
+    m_beaten = now;
+    m_next_beat = now + period();
+    const bool whole = m_next_whole == 0 || period() >= whole_beat_period;
+    m_next_whole = m_next_whole == 0 ? beats_between_whole : m_next_whole - 1;
+    wire::envelope message;
+    write_beat(message, whole);
+    m_bus.send_all(addresses(), message);
+}
+
+// Whole, since it is asked for by one that may have missed others.
+void fleet::beat_to(const std::string& host) {
     wire::envelope message;
+    write_beat(message, true);
+    send(host, message);
+}
+
+void fleet::beat_soon() {
+    m_next_beat = std::min(m_next_beat, event_loop::now() + least_beat_distance);
+}
+
+duration fleet::period() const {
+    std::size_t hosts = 1;
+    for (const auto& [name, peer] : m_peers) {
+        hosts += peer.lives ? 1 : 0;
+    }
+    return beat_period_for(hosts);
+}
+
+void fleet::write_beat(wire::envelope& message, bool whole) {
     sign(message);
     auto* beat = message.mutable_fleet();
     beat->set_leaving(m_leaving);
+    beat->set_period_ms(static_cast<std::uint32_t>(to_milliseconds(period())));
     const directory_copy own = m_services.copy_directory(false);
     beat->set_configuration_version(own.configuration_version);
     beat->set_list_revision(own.list_revision);
-    beat->set_whole(m_next_whole == 0);
-    m_next_whole = m_next_whole == 0 ? beats_between_whole : m_next_whole - 1;
+    beat->set_whole(whole);
     for (const auto& [instance, state] : m_services.lanes()) {
         const auto failing = static_cast<std::uint32_t>(state.failing * 100);
         if (state.reachable && !state.stalled && state.wait < shortest_told_wait &&
@@ -630,9 +716,6 @@
             }
         }
     }
-    for (const auto& [address, host] : addresses()) {
-        m_bus.send(address, message);
-    }
 }
 
 void fleet::write_changes(wire::fleet_beat& beat) {
@@ -661,9 +744,15 @@
 }
 
 void fleet::tick() {
-    beat();
-    ask_for_directory(event_loop::now());
-    m_tick = m_loop.after(beat_period, [this] { tick(); });
+    const time_point now = event_loop::now();
+    if (now >= m_next_beat) {
+        beat();
+    }
+    if (now - m_directory_asked >= directory_period) {
+        m_directory_asked = now;
+        ask_for_directory(now);
+    }
+    m_tick = m_loop.after(tick_period, [this] { tick(); });
 }
 
 void fleet::leave() {
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -2,6 +2,7 @@
 /// The other session hosts: who lives, what they reach, and work that is handed to them.
 #pragma once
 
+#include "bronzeplank/beat_pace.hpp"
 #include "bronzeplank/peer_clock.hpp"
 #include "edge/peer_bus.hpp"
 #include "session/fleet_directory.hpp"
@@ -42,6 +43,10 @@
     std::uint64_t list_revision = 0;
     bool leaving = false;
     time_point heard;
+    /// A longer silence means that the peer is dead.
+    duration silence{};
+    /// Nothing has come although an answer is long due.
+    bool owes_answer = false;
     /// Whether it was heard lately when the fleet looked last.
     bool lives = false;
     std::map<std::string, lane_state, std::less<>> lanes;
@@ -49,6 +54,8 @@
     std::map<std::string, double, std::less<>> demands;
     /// The newest commit that the peer has acknowledged to a caller, by group.
     std::map<std::string, log_position, std::less<>> acknowledged;
+
+    bool alive(time_point now) const { return !owes_answer && now - heard < silence; }
 };
 
 /// What this host does for others, and tells them.
@@ -69,11 +76,12 @@
     std::function<void(const directory_copy&)> accept_directory;
 };
 
-/// Exchanges beats with every known host and relays work. A peer that has been silent for
-/// `peer_silence`, or has started again, answers nothing any more: what it was asked is
-/// unanswered. A call to a peer that isn't connected is `unsent`. What a cut has held up for longer
-/// than its sender waits is not acted on, nor is what an earlier start of a peer had sent; an
-/// answer reaches only the call that it belongs to, not one of a later start of this host.
+/// Exchanges beats with every known host and relays work. A peer that has been silent for three of
+/// its beats, or for `unanswered_silence` after a call, or has started again, answers nothing any
+/// more: what it was asked is unanswered. A call to a peer that isn't connected is `unsent`. What a
+/// cut has held up for longer than its sender waits is not acted on, nor is what an earlier start
+/// of a peer had sent; an answer reaches only the call that it belongs to, not one of a later start
+/// of this host.
 class fleet {
 public:
     struct identity {
@@ -83,8 +91,8 @@
         std::vector<endpoint> known_peers;
     };
 
-    static constexpr std::chrono::milliseconds beat_period{200};
-    static constexpr std::chrono::milliseconds peer_silence{650};
+    /// A peer from which nothing at all has come for this long after a call is dead.
+    static constexpr std::chrono::milliseconds unanswered_silence{650};
     /// A host that nobody here has heard for this long is gone for good.
     static constexpr std::chrono::seconds gone_after{30};
 
@@ -100,6 +108,8 @@
     std::vector<const fleet_peer*> live(time_point now) const;
     /// All hosts, this one included, that live or may live where they can't be heard.
     std::size_t known_hosts(time_point now) const;
+    /// How many peers can't reach the instance.
+    int unreachable_from(const std::string& instance) const;
     /// A number that changes whenever a peer comes, goes, leaves, or reaches other instances.
     std::uint64_t view() const { return m_view; }
     /// Null unless the peer lives.
@@ -127,7 +137,10 @@
 private:
     struct call {
         std::string host;
+        time_point sent;
         time_point limit;
+        /// The peer was asked for a sign of life.
+        bool doubted = false;
         answer_handler answered;
         status_handler reported;
         sample_handler sampled;
@@ -158,9 +171,14 @@
     void fail(const call& failed, upstream_result result);
     void fail_calls_to(const std::string& host);
     void look_who_lives(time_point now);
+    void doubt_silent_peers(time_point now);
+    void write_beat(wire::envelope& message, bool whole);
+    void beat_to(const std::string& host);
+    void beat_soon();
+    duration period() const;
     void tick();
     void sweep(time_point now);
-    std::map<std::string, std::string> addresses() const;
+    std::set<std::string> addresses() const;
 
     event_loop& m_loop;
     identity m_self;
@@ -177,6 +195,11 @@
     /// Since when peers know a newer directory.
     std::optional<time_point> m_behind_since;
     std::uint64_t m_view = 0;
+    mutable std::map<std::string, int, std::less<>> m_unreachable;
+    mutable std::uint64_t m_unreachable_view = 0;
+    time_point m_beaten{};
+    time_point m_next_beat{};
+    time_point m_directory_asked{};
     std::uint64_t m_relayed = 0;
     /// Short beats until the next whole one.
     int m_next_whole = 0;
--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -211,13 +211,16 @@
         }
     }
     const auto peers = m_fleet.live(now);
-    for (auto& [workspace, share] : m_shares) {
-        double others = 0;
-        for (const fleet_peer* peer : peers) {
-            const auto demand = peer->demands.find(workspace);
-            others += demand == peer->demands.end() ? 0 : demand->second;
+    std::map<std::string_view, double> demands;
+    for (const fleet_peer* peer : peers) {
+        for (const auto& [workspace, per_second] : peer->demands) {
+            demands[workspace] += per_second;
         }
-        share.set_view(others, peers.size() + 1, m_fleet.known_hosts(now));
+    }
+    const std::size_t known_hosts = m_fleet.known_hosts(now);
+    for (auto& [workspace, share] : m_shares) {
+        const auto others = demands.find(workspace);
+        share.set_view(others == demands.end() ? 0 : others->second, peers.size() + 1, known_hosts);
     }
     for (const auto& [id, instance] : m_directory.instances()) {
         if (m_directory.takes_work(instance)) {
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -308,14 +308,11 @@
 upstream_router::reach_votes upstream_router::votes_on(const std::string& instance) const {
     reach_votes votes;
     const auto own = m_gateway.state(instance);
-    const time_point now = event_loop::now();
-    votes.hosts = static_cast<int>(m_fleet->known_hosts(now));
     votes.cut_off_here = own && !own->reachable;
-    votes.cut_off = votes.cut_off_here ? 1 : 0;
-    for (const fleet_peer* peer : m_fleet->live(now)) {
-        const auto lane = peer->lanes.find(instance);
-        votes.cut_off += lane != peer->lanes.end() && !lane->second.reachable ? 1 : 0;
-    }
+    votes.cut_off = m_fleet->unreachable_from(instance) + (votes.cut_off_here ? 1 : 0);
+    // Asked for every instance many times a second, while hardly ever anybody is cut off.
+    votes.hosts =
+        votes.cut_off == 0 ? 0 : static_cast<int>(m_fleet->known_hosts(event_loop::now()));
     return votes;
 }
 
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -67,7 +67,7 @@
     lane_state state_of(const upstream_instance& instance) const;
 
     /// How many hosts say that they can't reach the instance, and how many hosts are known, heard
-    /// or not, this one included.
+    /// or not, this one included; 0 when nobody says so.
     struct reach_votes {
         int cut_off = 0;
         int hosts = 0;
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -206,8 +206,10 @@
         message.set_sent_ms(static_cast<std::uint64_t>(to_milliseconds(clock.time_since_epoch())));
         return bus.send("127.0.0.1:7593", message);
     }
-    bool beat() {
+    bool beat(std::uint32_t period_ms = 200, bool leaving = false) {
         wire::envelope message;
+        message.mutable_fleet()->set_leaving(leaving);
+        message.mutable_fleet()->set_period_ms(period_ms);
         message.mutable_fleet()->set_whole(true);
         message.mutable_fleet()->set_failure_domain("b");
         message.mutable_fleet()->set_peer_address("127.0.0.1:" + std::to_string(scripted_port));
@@ -273,13 +275,20 @@
         REQUIRE(sentinel_arrives());
         REQUIRE(host.orders.empty());
     }
-    SECTION("takes no sign of life from what a cut held up") {
-        REQUIRE(sentinel_arrives());
-        const time_point heard = host.peers->find("scripted")->heard;
+    SECTION("believes no beat that a cut held up") {
         at(std::chrono::seconds(9));
-        peer.beat();
+        peer.beat(200, true);
         REQUIRE(sentinel_arrives());
-        REQUIRE(host.peers->find("scripted")->heard == heard);
+        REQUIRE_FALSE(host.peers->find("scripted")->leaving);
+    }
+    SECTION("takes no sign of life from what a cut held up") {
+        REQUIRE(run_until(loop, [&] { return host.peers->find("scripted") == nullptr; }));
+        at(std::chrono::seconds(9));
+        wire::envelope late;
+        late.mutable_end()->set_transaction(3);
+        peer.send(late);
+        REQUIRE(run_until(loop, [&] { return !host.ended.empty(); }));
+        REQUIRE(host.peers->find("scripted") == nullptr);
     }
     SECTION("listens to no earlier start of the peer once it has heard a later one") {
         peer.incarnation = 72;
@@ -320,3 +329,49 @@
         REQUIRE_FALSE(answer);
     }
 }
+
+TEST_CASE("a host whose peer beats rarely") {
+    event_loop loop;
+    bus_host host(loop, "first", 7593, scripted_port);
+    scripted_peer peer(loop);
+    constexpr std::uint32_t rarely_ms = 60'000;
+    std::optional<statement_answer> answer;
+    upstream_work work = sound_work();
+    work.time_left = std::chrono::seconds(3);
+    const auto received = [&](auto has) {
+        return std::any_of(peer.received.begin(), peer.received.end(), has);
+    };
+    REQUIRE(run_until(loop, [&] {
+        if (host.peers->find("scripted") == nullptr) {
+            peer.beat(rarely_ms);
+        } else if (answer || host.peers->relayed() == 0) {
+            answer.reset();
+            host.peers->run("scripted", work,
+                            [&](const statement_answer& given) { answer = given; });
+        }
+        return received([](const auto& message) { return message.has_work(); });
+    }));
+
+    SECTION("asks it for a sign of life when an answer is due") {
+        REQUIRE(run_until(loop, [&] {
+            return received([](const auto& message) { return message.has_beat_asked(); });
+        }));
+        REQUIRE_FALSE(answer);
+        SECTION("and waits on when it gives one") {
+            peer.clock += std::chrono::seconds(1);
+            peer.beat(rarely_ms);
+            const time_point beaten = event_loop::now();
+            run_until(loop, [&] {
+                return event_loop::now() - beaten > fleet::unanswered_silence + milliseconds(200);
+            });
+            REQUIRE_FALSE(answer);
+            REQUIRE(host.peers->find("scripted") != nullptr);
+        }
+        SECTION("and takes it for dead, its call for unanswered, when it gives none") {
+            REQUIRE(run_until(loop, [&] { return answer.has_value(); }));
+            REQUIRE(answer->result == upstream_result::unanswered);
+            REQUIRE(host.peers->find("scripted") == nullptr);
+            REQUIRE(host.peers->known_hosts(event_loop::now()) == 2);
+        }
+    }
+}
