--- a/test/platform/directory_follower_test.cpp
+++ b/test/platform/directory_follower_test.cpp
@@ -41,11 +41,14 @@
     bool until(Condition condition) {
         const time_point limit = event_loop::now() + std::chrono::seconds(20);
         while (!condition() && event_loop::now() < limit) {
-            const timer stop = loop.after(milliseconds(2), [this] { loop.stop(); });
-            loop.run();
+            turn(milliseconds(2));
         }
         return condition();
     }
+    void turn(duration time) {
+        const timer stop = loop.after(time, [this] { loop.stop(); });
+        loop.run();
+    }
     bool until_complete() {
         follower.start();
         return until([this] { return follower.complete(); });
@@ -87,6 +90,18 @@
         test.store.remove("evacuations", "b");
         REQUIRE(test.until([&] { return test.directory.withdrawn_domains().empty(); }));
     }
+    SECTION("takes many changes in a row with few calls") {
+        REQUIRE(test.until_complete());
+        REQUIRE(test.until([&] { return test.directory.hosts().contains("host"); }));
+        const int before = test.store.calls;
+        constexpr int changes = 20;
+        for (int i = 0; i < changes; ++i) {
+            test.store.write("servers", "i" + std::to_string(i), instance_spec("ready"));
+            test.turn(milliseconds(2));
+        }
+        REQUIRE(test.until([&] { return test.directory.instances().size() == changes + 1; }));
+        REQUIRE(test.store.calls - before <= changes / 4);
+    }
     SECTION("treats an entry that it can't read as no instance") {
         REQUIRE(test.until_complete());
         const std::string spec =
