Messages' codec and the record of a peer's starts are parts of their own

Change: fleet_messages holds the conversions between protobuf and values; message_source (pure, in the library) tells which messages of a peer still count. No behaviour changed. Test: message_source_test; the others unchanged.

--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "peer.pb.h"
 #include "runtime/log.hpp"
+#include "session/fleet_messages.hpp"
 
 #include <random>
 #include <set>
@@ -30,8 +31,6 @@
 // A beat that was held up for longer says nothing about now. Hosts with little processor time may
 // take half a second to read one.
 constexpr std::chrono::milliseconds beat_counts{1000};
-// Enough to recognize what a cut or a slow connection may still bring.
-constexpr std::size_t remembered_incarnations = 8;
 // Most statements are answered within this time.
 constexpr std::chrono::milliseconds doubted_after{250};
 // Beats that tell of news at once keep this distance.
@@ -52,65 +51,6 @@
     return value;
 }
 
-void write_work(const upstream_work& work, wire::upstream_work& into) {
-    into.set_group(work.group);
-    into.set_instance(work.instance);
-    into.set_workspace(work.workspace);
-    into.set_kind(static_cast<std::uint32_t>(work.what.kind));
-    into.set_statement_id(work.what.id);
-    into.set_text(work.what.text);
-    into.set_argument(work.what.argument);
-    into.set_shape_writes(work.what.shape.writes);
-    into.set_shape_text(work.what.shape.text);
-    for (const auto& [name, value] : work.values) {
-        auto* added = into.add_values();
-        added->set_name(name);
-        added->set_value(value);
-    }
-    into.set_has_position(work.at_least.has_value());
-    if (work.at_least) {
-        into.set_term(work.at_least->term);
-        into.set_offset(work.at_least->offset);
-    }
-    into.set_transaction(work.transaction ? work.transaction->number : 0);
-    into.set_opens_transaction(work.opens_transaction);
-    into.set_read_only_transaction(work.read_only_transaction);
-    into.set_read_only_work(work.read_only_work);
-    into.set_strict(work.strict);
-    into.set_priority(work.priority);
-    into.set_objective_left_us(work.objective_left.count());
-    into.set_time_left_us(work.time_left.count());
-}
-
-upstream_work read_work(const std::string& from, const wire::upstream_work& message) {
-    upstream_work work;
-    work.group = message.group();
-    work.instance = message.instance();
-    work.workspace = message.workspace();
-    work.what.kind = static_cast<statement_kind>(message.kind());
-    work.what.id = message.statement_id();
-    work.what.text = message.text();
-    work.what.argument = message.argument();
-    work.what.shape = {message.shape_writes(), message.shape_text()};
-    for (const auto& value : message.values()) {
-        work.values.emplace_back(value.name(), value.value());
-    }
-    if (message.has_position()) {
-        work.at_least = log_position{message.term(), message.offset()};
-    }
-    if (message.transaction() != 0) {
-        work.transaction = transaction_key{from, message.transaction()};
-    }
-    work.opens_transaction = message.opens_transaction();
-    work.read_only_transaction = message.read_only_transaction();
-    work.read_only_work = message.read_only_work();
-    work.strict = message.strict();
-    work.priority = message.priority();
-    work.objective_left = duration(message.objective_left_us());
-    work.time_left = duration(message.time_left_us());
-    return work;
-}
-
 std::set<std::string> cut_off_instances(const fleet_peer& peer) {
     std::set<std::string> found;
     for (const auto& [instance, lane] : peer.lanes) {
@@ -243,26 +183,6 @@
     expect(host, small_call_limit, {{}, {}, {}, false, nullptr, nullptr, std::move(sampled)});
 }
 
-// Nothing for what an earlier start of the sender sent.
-std::optional<duration> fleet::lateness_of(const wire::envelope& message) {
-    sender& known = m_senders[message.from()];
-    if (known.earlier.contains(message.incarnation())) {
-        return std::nullopt;
-    }
-    if (known.incarnation != message.incarnation()) {
-        if (known.earlier.size() >= remembered_incarnations) {
-            known.earlier.clear();
-        }
-        if (known.incarnation != 0) {
-            known.earlier.insert(known.incarnation);
-        }
-        known.incarnation = message.incarnation();
-        known.clock = {};
-    }
-    const time_point sent{std::chrono::milliseconds(message.sent_ms())};
-    return known.clock.lateness(sent, event_loop::now());
-}
-
 // Whether it is not too late for the message to be of use, or to do no harm.
 bool fleet::acts_on(const wire::envelope& message, duration late) {
     switch (message.payload_case()) {
@@ -279,7 +199,9 @@
 }
 
 void fleet::receive(const wire::envelope& message) {
-    const auto late = lateness_of(message);
+    const time_point sent{std::chrono::milliseconds(message.sent_ms())};
+    const auto late =
+        m_sources[message.from()].lateness(message.incarnation(), sent, event_loop::now());
     if (!late || !acts_on(message, *late)) {
         ++m_dropped;
         log(log_event::peer_message_dropped,
@@ -352,16 +274,8 @@
         asked.instance(), static_cast<replication_order>(asked.order()), asked.term(),
         [this, from, id = asked.id()](const std::optional<replication_status>& status) {
             wire::envelope reply;
-            auto* written = reply.mutable_replication_answer();
-            written->set_id(id);
-            written->set_answered(status.has_value());
-            if (status) {
-                written->set_primary(status->role == replication_role::primary);
-                written->set_term(status->term);
-                written->set_received_term(status->received.term);
-                written->set_received_offset(status->received.offset);
-                written->set_paused_by(status->paused_by);
-            }
+            reply.mutable_replication_answer()->set_id(id);
+            write_report(status, *reply.mutable_replication_answer());
             send(from, reply);
         });
 }
@@ -382,49 +296,13 @@
 }
 
 void fleet::serve_directory(const std::string& from) {
-    const directory_copy copy = m_services.copy_directory(true);
     wire::envelope reply;
-    auto* written = reply.mutable_directory_answer();
-    written->set_configuration_version(copy.configuration_version);
-    written->set_configuration(copy.configuration_text);
-    written->set_list_revision(copy.list_revision);
-    for (const auto& [id, instance] : copy.instances) {
-        auto* added = written->add_instances();
-        added->set_id(id);
-        added->set_group(instance.group);
-        added->set_failure_domain(instance.failure_domain);
-        added->set_address(instance.address.address);
-        added->set_port(instance.address.port);
-        added->set_slots(instance.slots);
-        added->set_leaving(instance.leaving);
-        added->set_says_primary(instance.says_primary);
-        added->set_born_ms(instance.born_ms);
-    }
-    for (const auto& domain : copy.withdrawn_domains) {
-        written->add_withdrawn_domains(domain);
-    }
+    write_directory(m_services.copy_directory(true), *reply.mutable_directory_answer());
     send(from, reply);
 }
 
 void fleet::take_directory(const wire::envelope& message) {
-    const auto& read = message.directory_answer();
-    directory_copy copy;
-    copy.configuration_version = read.configuration_version();
-    copy.configuration_text = read.configuration();
-    copy.list_revision = read.list_revision();
-    for (const auto& listed : read.instances()) {
-        copy.instances[listed.id()] = {
-            listed.id(),
-            listed.group(),
-            listed.failure_domain(),
-            {listed.address(), static_cast<std::uint16_t>(listed.port())},
-            listed.slots(),
-            listed.leaving(),
-            listed.says_primary(),
-            listed.born_ms()};
-    }
-    copy.withdrawn_domains = {read.withdrawn_domains().begin(), read.withdrawn_domains().end()};
-    m_services.accept_directory(copy);
+    m_services.accept_directory(read_directory(message.directory_answer()));
 }
 
 // The platform's own word comes first; peers are asked when it does not come.
@@ -466,21 +344,12 @@
     if (message.has_work_answer()) {
         const auto& read = message.work_answer();
         if (const auto waiting = take(read.id()); waiting.answered) {
-            statement_answer answer{static_cast<upstream_result>(read.result()),
-                                    {read.rows().begin(), read.rows().end()},
-                                    read.signature(),
-                                    {read.term(), read.offset()}};
-            waiting.answered(answer);
+            waiting.answered(read_answer(read));
         }
     } else if (message.has_replication_answer()) {
         const auto& read = message.replication_answer();
         if (const auto waiting = take(read.id()); waiting.reported) {
-            const replication_status status{read.primary() ? replication_role::primary
-                                                           : replication_role::replica,
-                                            read.term(),
-                                            {read.received_term(), read.received_offset()},
-                                            read.paused_by()};
-            waiting.reported(read.answered() ? std::optional(status) : std::nullopt);
+            waiting.reported(read_report(read));
         }
     } else if (message.has_sample_answer()) {
         const auto& read = message.sample_answer();
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "bronzeplank/beat_pace.hpp"
-#include "bronzeplank/peer_clock.hpp"
+#include "bronzeplank/message_source.hpp"
 #include "edge/peer_bus.hpp"
 #include "session/fleet_directory.hpp"
 #include "session/upstream_work.hpp"
@@ -146,14 +146,7 @@
         sample_handler sampled;
     };
 
-    struct sender {
-        std::uint32_t incarnation = 0;
-        std::set<std::uint32_t> earlier;
-        peer_clock clock;
-    };
-
     void receive(const wire::envelope& message);
-    std::optional<duration> lateness_of(const wire::envelope& message);
     bool acts_on(const wire::envelope& message, duration late);
     void hear(const std::string& from, std::uint32_t incarnation, const wire::fleet_beat& beat);
     void hear_whole(fleet_peer& peer, const wire::fleet_beat& beat);
@@ -190,7 +183,7 @@
     std::map<std::string, fleet_peer> m_peers;
     std::map<std::uint64_t, call> m_calls;
     std::uint64_t m_next_call;
-    std::map<std::string, sender> m_senders;
+    std::map<std::string, message_source> m_sources;
     std::uint64_t m_dropped = 0;
     /// Since when peers know a newer directory.
     std::optional<time_point> m_behind_since;
