Answers to relayed work are written by their codec as well

Cause: read again: the codec's move had left one conversion written twice, and a local name hid the fleet's own.

--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -27,7 +27,6 @@
 constexpr double least_told_demand = 0.5;
 // A relayed statement's answer may take as long as its own limit and a round trip.
 constexpr std::chrono::milliseconds relay_slack{50};
-
 // A beat that was held up for longer says nothing about now. Hosts with little processor time may
 // take half a second to read one.
 constexpr std::chrono::milliseconds beat_counts{1000};
@@ -37,7 +36,9 @@
 constexpr std::chrono::milliseconds least_beat_distance{50};
 // With longer periods every beat is whole.
 constexpr std::chrono::milliseconds whole_beat_period{600};
+// How often peers' versions of the directory are compared with this host's.
 constexpr std::chrono::milliseconds directory_period{200};
+// How late a beat may be.
 constexpr std::chrono::milliseconds tick_period{50};
 // A million calls fit between two neighbouring incarnations.
 constexpr unsigned first_call_shift = 20;
@@ -255,15 +256,8 @@
     work.objective_left = std::max(duration(0), work.objective_left - late);
     m_services.run(std::move(work), [this, from, id](const statement_answer& answer) {
         wire::envelope reply;
-        auto* written = reply.mutable_work_answer();
-        written->set_id(id);
-        written->set_result(static_cast<std::uint32_t>(answer.result));
-        for (const auto& row : answer.rows) {
-            written->add_rows(row);
-        }
-        written->set_signature(answer.signature);
-        written->set_term(answer.position.term);
-        written->set_offset(answer.position.offset);
+        reply.mutable_work_answer()->set_id(id);
+        write_answer(answer, *reply.mutable_work_answer());
         send(from, reply);
     });
 }
@@ -383,8 +377,8 @@
     peer.list_revision = beat.list_revision();
     peer.heard = event_loop::now();
     peer.owes_answer = false;
-    const duration period = std::chrono::milliseconds(beat.period_ms());
-    peer.silence = silence_for(std::max<duration>(period, shortest_beat_period));
+    const duration told_period = std::chrono::milliseconds(beat.period_ms());
+    peer.silence = silence_for(std::max<duration>(told_period, shortest_beat_period));
     peer.lanes.clear();
     for (const auto& lane : beat.lanes()) {
         peer.lanes[lane.instance()] = {lane.reachable(),
