--- a/test/platform/store_standin.hpp
+++ b/test/platform/store_standin.hpp
@@ -34,7 +34,7 @@
     // The port is this fixture's own: tests that listen run one after the other.
     static constexpr std::uint16_t port = 7595;
 
-    explicit store_standin(event_loop& loop) : m_loop(loop), m_server(evhttp_new(loop.base())) {
+    explicit store_standin(event_loop& loop) : m_server(evhttp_new(loop.base())) {
         evhttp_set_gencb(m_server, &store_standin::on_request, this);
         evhttp_bind_socket(m_server, "127.0.0.1", port);
     }
@@ -225,7 +225,6 @@
         evhttp_clear_headers(&fields);
     }
 
-    event_loop& m_loop;
     evhttp* m_server;
     std::map<std::string, std::map<std::string, object>> m_objects;
     std::vector<changed> m_changes;
