Log each replication command's answer, and writes that an instance answers late

Events 1308 replication_commanded (instance, command, term, answer) and 1706 write_delayed (instance, position, took_ms), both by the instance's gateway. upstream_pool_test and documents_test pass.

--- a/include/bronzeplank/statement.hpp
+++ b/include/bronzeplank/statement.hpp
@@ -115,4 +115,12 @@
 /// report once no write is running.
 enum class replication_command { report, pause, resume, demote, hold };
 
+std::string_view to_string(replication_command command);
+
+/// Formats a position for logs, as in "3.1209".
+std::string to_text(const log_position& position);
+
+/// Formats an answer for logs, as in "replica term 3 received 3.1209 paused by 4".
+std::string to_text(const replication_status& status);
+
 } // namespace bronzeplank
--- a/src/session/upstream_pool.hpp
+++ b/src/session/upstream_pool.hpp
@@ -92,14 +92,20 @@
     /// Sends a command on the control connection; the handler gets nothing when the instance
     /// doesn't answer.
     void send_command(replication_command command, std::uint64_t term, status_handler on_status) {
-        m_last_used_at = event_loop::now();
-        control_connection().send_command(
-            command, term, [this, on_status](const std::optional<replication_status>& status) {
-                if (status) {
-                    record_response();
-                }
-                on_status(status);
-            });
+        const time_point sent_at = event_loop::now();
+        m_last_used_at = sent_at;
+        control_connection().send_command(command, term,
+                                          [this, on_status, command, term, sent_at](
+                                              const std::optional<replication_status>& status) {
+                                              if (status) {
+                                                  record_response();
+                                              }
+                                              if (command != replication_command::report) {
+                                                  log_command(command, term, status,
+                                                              event_loop::now() - sent_at);
+                                              }
+                                              on_status(status);
+                                          });
     }
 
     /// Starts no new writes for `write_hold_limit`, and requests the instance's status for
@@ -199,6 +205,8 @@
     // Several times as long as a commit takes on a fully loaded instance.
     static constexpr std::chrono::milliseconds write_stall_threshold{600};
 
+    // Several times as long as a commit takes while a replica receives it.
+    static constexpr std::chrono::milliseconds delayed_write_threshold{250};
     // About twice the time that it takes to open a connection.
     static constexpr std::chrono::milliseconds connection_reuse_wait{30};
     // No statement takes this long on a healthy instance.
@@ -416,6 +424,26 @@
                                             {"result", std::string(to_string(result))}});
     }
 
+    void log_command(replication_command command, std::uint64_t term,
+                     const std::optional<replication_status>& status, duration took) const {
+        log(log_event::replication_commanded, {{"instance", m_instance.id},
+                                               {"group", m_instance.group},
+                                               {"command", std::string(to_string(command))},
+                                               {"term", std::to_string(term)},
+                                               {"answer", status ? to_text(*status) : ""},
+                                               {"took_ms", std::to_string(to_milliseconds(took))}});
+    }
+
+    void log_if_delayed(const statement_answer& answer, duration took) const {
+        if (took < delayed_write_threshold) {
+            return;
+        }
+        log(log_event::write_delayed, {{"instance", m_instance.id},
+                                       {"group", m_instance.group},
+                                       {"position", to_text(answer.position)},
+                                       {"took_ms", std::to_string(to_milliseconds(took))}});
+    }
+
     void on_closed(const std::shared_ptr<connection_type>& connection) {
         if (!connection || connection->closed) {
             return;
@@ -524,6 +552,7 @@
         }
         if (done && connection->writing) {
             m_writes_stalled_until = time_point{};
+            log_if_delayed(answer, now - connection->started_at);
         }
         if (done || answer.result == upstream_result::failed) {
             record_response();
