A failover's commands undo no other claim's pause, and it reads the list again before it promotes

What callers saw: acknowledged commits lost.

Change: resume commands are repeated until answered, one at a time for each replica; a claim is released, or finished, only when none can arrive any more. After a promotion only a replica that follows the successor is resumed, and the old primary is demoted at once. The instances are read anew when the contact window after the last pause has passed, unless the old primary is demoted. A finished claim stores the term that its successor leads; a primary that this host didn't promote itself is not replaced within 3 s.

--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -18,18 +18,16 @@
 // A promotion takes a few hundred milliseconds; one that exceeds the timeout has failed.
 constexpr std::chrono::milliseconds promotion_timeout{3000};
 constexpr std::chrono::milliseconds follow_timeout{600};
+constexpr std::chrono::milliseconds resume_timeout{500};
+// A command without an answer may still arrive within this time.
+constexpr std::chrono::milliseconds command_lifetime{1000};
+static_assert(claim_lease + command_lifetime <= claim_timeout);
 
 // Whether the old primary itself answers, so that it can be demoted.
 bool primary_answers(failover_reason reason) {
     return reason == failover_reason::leaving || reason == failover_reason::stalled;
 }
 
-// Collects the responses to commands that are sent to several instances concurrently.
-struct command_responses {
-    std::map<std::string, replication_status> received;
-    std::set<std::string> pending;
-};
-
 } // namespace
 
 failover_service::failover_service(event_loop& loop, fleet_directory& directory,
@@ -231,11 +229,11 @@
         co_return false;
     }
     // Two holders never promote within one lease, so that no command of the first comes late.
-    const bool just_replaced = present.claim.finished && present.claim.holder != m_router.host() &&
-                               present.claim.successor == state.last_primary &&
-                               present.claim.term == state.last_term &&
-                               now - state.primary_since < claim_timeout;
-    if (just_replaced) {
+    const known_primary last{state.last_primary, state.last_term};
+    const bool promoted_here = state.promoted_here == last ||
+                               (present.claim.finished && present.claim.holder == m_router.host() &&
+                                known_primary{present.claim.successor, present.claim.term} == last);
+    if (!promoted_here && now - state.primary_since < claim_timeout) {
         co_return false;
     }
     // Another host may have completed a failover while this host was partitioned from it.
@@ -252,6 +250,7 @@
         std::max(m_directory.primary_tracker_for(attempt.group).newest_term(), present.claim.term) +
         1;
     attempt.lease_end = now + claim_lease;
+    attempt.listed_at = now;
     const failover_claim wanted{attempt.term, m_router.host(), "", false};
     const stored_claim written = co_await m_platform.write(attempt.group, present.revision, wanted);
     attempt.token = written.revision;
@@ -274,50 +273,74 @@
     return choice;
 }
 
-task<std::string> failover_service::pause_and_choose_successor(failover_attempt& attempt) {
-    const time_point started = event_loop::now();
-    const auto responses = std::make_shared<command_responses>();
+void failover_service::request_pauses(failover_attempt& attempt, duration waited) {
     const auto request = [&](const std::string& id, replication_command command) {
-        if (responses->received.contains(id) || !responses->pending.insert(id).second) {
+        if (attempt.commands->confirmed.contains(id) ||
+            !attempt.commands->pending.insert(id).second) {
             return;
         }
         const bool pauses = command == replication_command::pause;
-        m_router.send_command(id, command, attempt.term,
-                              [responses, id, pauses, term = attempt.term](
-                                  const std::optional<replication_status>& status) {
-                                  responses->pending.erase(id);
-                                  const bool confirmed =
-                                      status && status->role == replication_role::replica &&
-                                      (!pauses || status->paused_by >= term);
-                                  if (confirmed) {
-                                      responses->received.emplace(id, *status);
-                                  }
-                              });
+        m_router.send_command(
+            id, command, attempt.term,
+            [commands = attempt.commands, id, pauses,
+             term = attempt.term](const std::optional<replication_status>& status) {
+                commands->pending.erase(id);
+                // A former primary that hasn't stepped down yet takes no pause.
+                const bool confirmed = status && status->role == replication_role::replica &&
+                                       (!pauses || status->paused_by >= term);
+                if (confirmed && commands->confirmed.emplace(id, *status).second) {
+                    commands->confirmed_at = event_loop::now();
+                }
+            });
     };
+    for (const auto& replica : other_members(attempt.group, attempt.old_primary)) {
+        attempt.pause_requested.insert(replica);
+        request(replica, replication_command::pause);
+    }
+    if (primary_answers(attempt.reason) && waited >= demotion_delay) {
+        request(attempt.old_primary, replication_command::demote);
+    }
+}
+
+// Until the contact window after the last pause has passed, hosts may still acknowledge commits
+// that only the old primary and an instance have that registered meanwhile.
+bool failover_service::is_list_current(const failover_attempt& attempt) const {
+    return attempt.old_primary_demoted ||
+           attempt.listed_at >=
+               attempt.commands->confirmed_at + established_replicas::contact_window;
+}
+
+task<std::string> failover_service::pause_and_choose_successor(failover_attempt& attempt) {
+    const time_point started = event_loop::now();
     for (;;) {
-        const duration waited = event_loop::now() - started;
-        attempt.old_primary_demoted = responses->received.contains(attempt.old_primary);
-        if (!is_still_required(attempt) || !lease_valid(attempt) ||
-            waited >= replica_response_timeout) {
+        const time_point now = event_loop::now();
+        attempt.old_primary_demoted = attempt.commands->confirmed.contains(attempt.old_primary);
+        if (!is_still_required(attempt) || !lease_valid(attempt)) {
             co_return std::string();
         }
-        for (const auto& replica : other_members(attempt.group, attempt.old_primary)) {
-            attempt.pause_requested.insert(replica);
-            request(replica, replication_command::pause);
-        }
-        if (primary_answers(attempt.reason) && waited >= demotion_delay) {
-            request(attempt.old_primary, replication_command::demote);
-        }
+        request_pauses(attempt, now - started);
         attempt.paused.clear();
-        for (const auto& [replica, status] : responses->received) {
+        for (const auto& [replica, status] : attempt.commands->confirmed) {
             const upstream_instance* listed = m_directory.instance(replica);
             const bool stays = listed != nullptr && m_directory.accepts_work(*listed);
             attempt.paused.push_back({replica, status, stays});
         }
         const auto chosen = choose_successor(current_choice(attempt));
-        if (chosen && is_still_required(attempt)) {
+        if (chosen && is_list_current(attempt)) {
             co_return *chosen;
         }
+        if (!chosen && now - started >= replica_response_timeout) {
+            co_return std::string();
+        }
+        const time_point list_due =
+            attempt.commands->confirmed_at + established_replicas::contact_window;
+        if (chosen && now >= list_due) {
+            attempt.listed_at = now;
+            if (!co_await m_platform.refresh_instances()) {
+                co_return std::string();
+            }
+            continue;
+        }
         co_await sleep_for(m_loop, poll_interval);
     }
 }
@@ -357,12 +380,15 @@
         repeat_pause(attempt, successor);
         const auto status = co_await send_command(successor, replication_command::report, 0);
         if (status && status->role == replication_role::primary) {
+            attempt.leading_term = status->term;
             co_return true;
         }
         co_await sleep_for(m_loop, poll_interval);
     }
-    // The platform has accepted the successor, so it leads the term even if no host can reach it.
-    m_directory.primary_tracker_for(attempt.group).record_primary(successor, attempt.term);
+    // The platform has accepted the successor, so it leads the term after the newest even if no
+    // host can reach it. Abandoned claims have used up terms that nobody leads.
+    primary_tracker& tracker = m_directory.primary_tracker_for(attempt.group);
+    tracker.record_primary(successor, tracker.newest_term() + 1);
     co_return false;
 }
 
@@ -381,55 +407,109 @@
     }
 }
 
+void failover_service::send_resume(const failover_attempt& attempt, const std::string& replica) {
+    if (!attempt.commands->resumes_pending.insert(replica).second) {
+        return;
+    }
+    m_router.send_command(
+        replica, replication_command::resume, 0,
+        [commands = attempt.commands, replica](const std::optional<replication_status>& status) {
+            commands->resumes_pending.erase(replica);
+            commands->resume_unanswered |= !status;
+            // One that doesn't answer is left to the next claim.
+            if (!status || (status->paused_by == 0 && !commands->pending.contains(replica))) {
+                commands->to_resume.erase(replica);
+            }
+        });
+}
+
 // Resumes all replicas concurrently, since a paused replica confirms no reads for the primary. A
 // replica may be paused although its answer was lost.
-void failover_service::resume_replicas(const failover_attempt& attempt) {
-    for (const auto& replica : attempt.pause_requested) {
-        m_router.send_command(replica, replication_command::resume, 0,
-                              [](const std::optional<replication_status>&) {});
+task<void> failover_service::resume_replicas(failover_attempt& attempt) {
+    const auto commands = attempt.commands;
+    commands->to_resume = attempt.pause_requested;
+    const time_point deadline = event_loop::now() + resume_timeout;
+    while (!commands->to_resume.empty() && event_loop::now() < deadline && lease_valid(attempt)) {
+        const std::set<std::string> paused = commands->to_resume;
+        for (const auto& replica : paused) {
+            send_resume(attempt, replica);
+        }
+        co_await sleep_for(m_loop, poll_interval);
     }
 }
 
-// Repeats the resume command until each replica follows the term and isn't paused, since a pause
-// command of this failover may arrive late. A replica that doesn't respond delays no other.
-task<void> failover_service::wait_until_following(failover_attempt& attempt, std::string successor,
-                                                  std::uint64_t term) {
+// A resume command has no term: one that arrives late would undo the pause of a newer claim.
+// Returns when none can arrive any more.
+task<void> failover_service::wait_for_resumes(const failover_attempt& attempt) {
+    const auto commands = attempt.commands;
+    if (commands->resume_unanswered || !commands->resumes_pending.empty()) {
+        co_await sleep_for(m_loop, command_lifetime);
+    }
+}
+
+// A promotion ends the pauses of the group, also of a replica that can't hear the successor and
+// receives from the old primary again. Only a late pause command of this claim is undone, at a
+// replica that follows the successor already. A replica that doesn't respond delays no other.
+task<void> failover_service::wait_until_following(failover_attempt& attempt,
+                                                  std::string successor) {
     const time_point deadline = event_loop::now() + follow_timeout;
-    auto pending = std::make_shared<std::set<std::string>>();
+    auto waiting = std::make_shared<std::set<std::string>>();
+    auto asked = std::make_shared<std::set<std::string>>();
+    auto paused = std::make_shared<std::set<std::string>>();
     for (const auto& replica : other_members(attempt.group, attempt.old_primary)) {
         if (replica != successor) {
-            pending->insert(replica);
+            waiting->insert(replica);
         }
     }
-    // A resume command has no term: after the lease it could undo a newer claim's pause.
-    while (!pending->empty() && event_loop::now() < deadline && lease_valid(attempt)) {
-        const std::set<std::string> requested = *pending;
+    while (!waiting->empty() && event_loop::now() < deadline && lease_valid(attempt)) {
+        const std::set<std::string> requested = *waiting;
         for (const auto& replica : requested) {
-            m_router.send_command(
-                replica, replication_command::resume, 0,
-                [pending, replica, term](const std::optional<replication_status>& status) {
-                    if (status && status->term >= term && status->paused_by <= term) {
-                        pending->erase(replica);
-                    }
-                });
+            if (paused->erase(replica) > 0) {
+                send_resume(attempt, replica);
+            }
+            if (!asked->insert(replica).second) {
+                continue;
+            }
+            m_router.send_command(replica, replication_command::report, 0,
+                                  [waiting, asked, paused, replica, term = attempt.leading_term](
+                                      const std::optional<replication_status>& status) {
+                                      asked->erase(replica);
+                                      const bool follows = status && status->term >= term;
+                                      if (follows && status->paused_by == 0) {
+                                          waiting->erase(replica);
+                                      } else if (follows) {
+                                          paused->insert(replica);
+                                      }
+                                  });
         }
         co_await sleep_for(m_loop, poll_interval);
     }
 }
 
-// The other replicas follow the new primary before the old one is demoted: a leadership check of
-// the old primary fails once the replicas report the new term.
+// The old primary is demoted at once: until then it may acknowledge commits with a replica that
+// can't hear the successor.
 task<void> failover_service::complete_failover(failover_attempt& attempt, std::string successor) {
     m_fleet.send_heartbeat();
-    const std::uint64_t term = m_directory.primary_tracker_for(attempt.group).newest_term();
-    co_await wait_until_following(attempt, successor, term);
     if (attempt.old_primary != successor && m_directory.instance(attempt.old_primary) != nullptr) {
-        co_await send_command(attempt.old_primary, replication_command::demote, term);
+        m_router.send_command(attempt.old_primary, replication_command::demote,
+                              attempt.leading_term,
+                              [](const std::optional<replication_status>&) {});
     }
-    const failover_claim done{attempt.term, m_router.host(), successor, true};
+    co_await wait_until_following(attempt, successor);
+    co_await wait_for_resumes(attempt);
+    const failover_claim done{attempt.leading_term, m_router.host(), successor, true};
     co_await m_platform.write(attempt.group, attempt.token, done);
 }
 
+// Ends an attempt that has sent no promotion request. The next claim then need not wait for this
+// one's lease to expire.
+task<void> failover_service::abandon(failover_attempt& attempt) {
+    co_await resume_replicas(attempt);
+    co_await wait_for_resumes(attempt);
+    const failover_claim released{attempt.term, m_router.host(), "", true};
+    co_await m_platform.write(attempt.group, attempt.token, released);
+}
+
 task<void> failover_service::run_failover(std::string group, std::string old_primary,
                                           failover_reason reason) {
     failover_attempt attempt;
@@ -455,6 +535,7 @@
         }
         if (promoted) {
             ++m_promotions;
+            m_groups[group].promoted_here = {successor, attempt.leading_term};
             log(log_event::promotion_finished,
                 {{"group", group},
                  {"primary", successor},
@@ -470,11 +551,7 @@
             // A promotion request in flight may still promote the successor. The replicas then
             // stay paused until the next attempt.
             if (successor.empty() && lease_valid(attempt)) {
-                resume_replicas(attempt);
-                // This claim has no promotion request in flight, so that the next claim need not
-                // wait for its lease to expire.
-                const failover_claim released{attempt.term, m_router.host(), "", true};
-                co_await m_platform.write(attempt.group, attempt.token, released);
+                co_await abandon(attempt);
             }
         }
     }
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -93,20 +94,41 @@
         std::uint64_t last_term = 0;
         /// When this host learned that it leads.
         time_point primary_since{};
+        /// The last primary that this host promoted itself.
+        known_primary promoted_here;
         bool waiting_logged = false;
     };
 
+    /// Commands of one attempt that still wait for their answers, by instance.
+    struct command_progress {
+        std::map<std::string, replication_status> confirmed;
+        std::set<std::string> pending;
+        /// When the last instance confirmed that it is paused or demoted.
+        time_point confirmed_at{};
+        /// Replicas that may be paused and have to be resumed.
+        std::set<std::string> to_resume;
+        std::set<std::string> resumes_pending;
+        /// A resume command has got no answer, so that it may still arrive.
+        bool resume_unanswered = false;
+    };
+
     struct failover_attempt {
         std::string group;
         std::string old_primary;
         failover_reason reason = failover_reason::none;
+        /// Pauses the replicas; above any term known or claimed before.
         std::uint64_t term = 0;
+        /// The term that the successor leads, as the platform counts terms.
+        std::uint64_t leading_term = 0;
         std::uint64_t token = 0;
         time_point lease_end;
+        /// When the instances were last read anew.
+        time_point listed_at;
         /// Replicas that a pause command was sent to, whether they have answered or not.
         std::set<std::string> pause_requested;
         std::vector<paused_replica> paused;
         bool old_primary_demoted = false;
+        std::shared_ptr<command_progress> commands = std::make_shared<command_progress>();
     };
 
     void tick();
@@ -120,12 +142,16 @@
     bool can_account_for_members(const std::string& group, failover_reason reason) const;
     void log_waiting(const std::string& group, group_state& state);
     task<std::string> pause_and_choose_successor(failover_attempt& attempt);
+    void request_pauses(failover_attempt& attempt, duration waited);
+    bool is_list_current(const failover_attempt& attempt) const;
     failover_choice current_choice(const failover_attempt& attempt) const;
     task<bool> promote(failover_attempt& attempt, std::string successor);
-    void resume_replicas(const failover_attempt& attempt);
+    void send_resume(const failover_attempt& attempt, const std::string& replica);
+    task<void> resume_replicas(failover_attempt& attempt);
+    task<void> wait_for_resumes(const failover_attempt& attempt);
+    task<void> abandon(failover_attempt& attempt);
     void repeat_pause(const failover_attempt& attempt, const std::string& successor);
-    task<void> wait_until_following(failover_attempt& attempt, std::string successor,
-                                    std::uint64_t term);
+    task<void> wait_until_following(failover_attempt& attempt, std::string successor);
     task<void> complete_failover(failover_attempt& attempt, std::string successor);
     task<std::optional<replication_status>>
     send_command(std::string instance, replication_command command, std::uint64_t term);
