A claim shows which term may have been promoted

Change: the successor and its term are stored before the promotion is requested, and kept by every later claim until a newer promotion.

--- a/include/bronzeplank/failover.hpp
+++ b/include/bronzeplank/failover.hpp
@@ -92,13 +92,17 @@
 /// chosen only if a commit may be acknowledged that no other instance is known to have.
 std::optional<std::string> choose_successor(const failover_choice& choice);
 
-/// A group's claim as stored on the platform: the highest claimed term, its holder, and whether
-/// the failover is finished. The platform's revision of the claim serves as its fencing token.
+/// A group's claim as stored on the platform: the claimed term, its holder, and whether the
+/// failover is finished; then the term is the one that the successor leads. The successor is stored
+/// before its promotion is requested. The platform's revision of the claim serves as its fencing
+/// token.
 struct failover_claim {
     std::uint64_t term = 0;
     std::string holder;
     std::string successor;
     bool finished = true;
+    /// The newest term whose promotion may have been requested, by this claim or an earlier one.
+    std::uint64_t promoted_term = 0;
     bool operator==(const failover_claim&) const = default;
 };
 
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -251,7 +251,8 @@
         1;
     attempt.lease_end = now + claim_lease;
     attempt.listed_at = now;
-    const failover_claim wanted{attempt.term, m_router.host(), "", false};
+    attempt.promoted_term = present.claim.promoted_term;
+    const failover_claim wanted{attempt.term, m_router.host(), "", false, attempt.promoted_term};
     const stored_claim written = co_await m_platform.write(attempt.group, present.revision, wanted);
     attempt.token = written.revision;
     co_return written.succeeded;
@@ -358,6 +359,19 @@
     return m_router.reachability_of(attempt.old_primary).unreachable_from_most();
 }
 
+// Stored before the promotion is requested, so that the claim shows which promotions may have taken
+// effect. The claim's term is no lower than the one that the successor will lead.
+task<bool> failover_service::store_successor(failover_attempt& attempt, std::string successor,
+                                             std::uint64_t term) {
+    const failover_claim wanted{attempt.term, m_router.host(), successor, false, term};
+    const stored_claim written = co_await m_platform.write(attempt.group, attempt.token, wanted);
+    if (written.succeeded) {
+        attempt.token = written.revision;
+        attempt.promoted_term = term;
+    }
+    co_return written.succeeded;
+}
+
 task<bool> failover_service::promote(failover_attempt& attempt, std::string successor) {
     const time_point deadline = event_loop::now() + promotion_timeout;
     bool accepted = false;
@@ -495,9 +509,13 @@
                               attempt.leading_term,
                               [](const std::optional<replication_status>&) {});
     }
+    if (attempt.leading_term < attempt.term) {
+        co_await store_successor(attempt, successor, attempt.leading_term);
+    }
     co_await wait_until_following(attempt, successor);
     co_await wait_for_resumes(attempt);
-    const failover_claim done{attempt.leading_term, m_router.host(), successor, true};
+    const failover_claim done{attempt.leading_term, m_router.host(), successor, true,
+                              attempt.leading_term};
     co_await m_platform.write(attempt.group, attempt.token, done);
 }
 
@@ -506,7 +524,7 @@
 task<void> failover_service::abandon(failover_attempt& attempt) {
     co_await resume_replicas(attempt);
     co_await wait_for_resumes(attempt);
-    const failover_claim released{attempt.term, m_router.host(), "", true};
+    const failover_claim released{attempt.term, m_router.host(), "", true, attempt.promoted_term};
     co_await m_platform.write(attempt.group, attempt.token, released);
 }
 
@@ -530,7 +548,9 @@
             co_await send_command(old_primary, replication_command::hold, 0);
         }
         successor = co_await pause_and_choose_successor(attempt);
-        if (!successor.empty() && lease_valid(attempt)) {
+        const bool stored =
+            !successor.empty() && co_await store_successor(attempt, successor, attempt.term);
+        if (stored && lease_valid(attempt)) {
             promoted = co_await promote(attempt, successor);
         }
         if (promoted) {
@@ -550,7 +570,7 @@
                  {"in_lease", lease_valid(attempt) ? "true" : "false"}});
             // A promotion request in flight may still promote the successor. The replicas then
             // stay paused until the next attempt.
-            if (successor.empty() && lease_valid(attempt)) {
+            if (!stored && lease_valid(attempt)) {
                 co_await abandon(attempt);
             }
         }
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -120,6 +120,8 @@
         std::uint64_t term = 0;
         /// The term that the successor leads, as the platform counts terms.
         std::uint64_t leading_term = 0;
+        /// The newest term that may have been promoted before.
+        std::uint64_t promoted_term = 0;
         std::uint64_t token = 0;
         time_point lease_end;
         /// When the instances were last read anew.
@@ -145,6 +147,8 @@
     void request_pauses(failover_attempt& attempt, duration waited);
     bool is_list_current(const failover_attempt& attempt) const;
     failover_choice current_choice(const failover_attempt& attempt) const;
+    task<bool> store_successor(failover_attempt& attempt, std::string successor,
+                               std::uint64_t term);
     task<bool> promote(failover_attempt& attempt, std::string successor);
     void send_resume(const failover_attempt& attempt, const std::string& replica);
     task<void> resume_replicas(failover_attempt& attempt);
--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -20,6 +20,9 @@
     promotion_result promotion_result_to_give = promotion_result::done;
     duration write_delay{0};
     std::vector<time_point> written_at;
+    bool finished() const {
+        return !written.empty() && written.back().finished && !written.back().successor.empty();
+    }
     std::function<void()> on_refresh = [] {};
     std::unique_ptr<failover_service> service;
 
@@ -69,13 +72,20 @@
 
     SECTION("pauses and promotes a replica, and finishes the claim") {
         test.service->start();
-        REQUIRE(test.host.run_until([&] { return test.written.size() == 2; }));
+        REQUIRE(test.host.run_until([&] { return test.finished(); }));
         REQUIRE(test.promoted == std::vector<std::string>{"r"});
         REQUIRE(test.host.commands.front() == replication_command::pause);
-        REQUIRE(test.written[0] == failover_claim{2, "host", "", false});
-        REQUIRE(test.written[1] == failover_claim{2, "host", "r", true});
+        REQUIRE(test.written == std::vector<failover_claim>{{2, "host", "", false, 0},
+                                                            {2, "host", "r", false, 2},
+                                                            {2, "host", "r", true, 2}});
         REQUIRE(test.host.directory.primary("g") == known_primary{"r", 2});
     }
+    SECTION("stores the successor before it requests its promotion") {
+        test.promotes_immediately = false;
+        test.service->start();
+        REQUIRE(test.host.run_until([&] { return !test.promoted.empty(); }));
+        REQUIRE(test.written.back() == failover_claim{2, "host", "r", false, 2});
+    }
     SECTION("promotes nobody while the primary may acknowledge commits with another instance") {
         test.host.directory.upsert_instance(model::listed_instance("s", false));
         const auto promoted = [&] { return !test.promoted.empty(); };
@@ -132,11 +142,11 @@
         test.host.reports["r"] = make_status(replication_role::primary, 2);
         SECTION("resumes one that a late command has paused, although the other does not respond") {
             test.host.reports["t"] = make_status(replication_role::replica, 2, 2);
-            REQUIRE(test.host.run_until([&] { return test.written.size() == 2; }));
+            REQUIRE(test.host.run_until([&] { return test.finished(); }));
             REQUIRE(test.host.was_commanded("t", replication_command::resume));
         }
         SECTION("resumes none that may still receive from the old primary, which is demoted") {
-            REQUIRE(test.host.run_until([&] { return test.written.size() == 2; }));
+            REQUIRE(test.host.run_until([&] { return test.finished(); }));
             REQUIRE_FALSE(test.host.was_commanded("t", replication_command::resume));
             REQUIRE(test.host.was_commanded("p", replication_command::demote));
         }
@@ -154,11 +164,11 @@
         REQUIRE(test.promoted.front() == "n");
     }
     SECTION("after abandoned claims, stores the term that the successor leads") {
-        test.stored = {true, 5, {7, "other", "", true}};
+        test.stored = {true, 5, {7, "other", "", true, 1}};
         test.service->start();
-        REQUIRE(test.host.run_until([&] { return test.written.size() == 2; }));
-        REQUIRE(test.written[0] == failover_claim{8, "host", "", false});
-        REQUIRE(test.written[1] == failover_claim{2, "host", "r", true});
+        REQUIRE(test.host.run_until([&] { return test.finished(); }));
+        REQUIRE(test.written.front() == failover_claim{8, "host", "", false, 1});
+        REQUIRE(test.written.back() == failover_claim{2, "host", "r", true, 2});
         REQUIRE(test.host.directory.primary("g") == known_primary{"r", 2});
     }
     SECTION("is retried without waiting for the lease when no replica could be promoted") {
@@ -236,7 +246,8 @@
             }
             return promoted();
         }));
-        REQUIRE(test.written.size() == 1);
+        REQUIRE(test.written ==
+                std::vector<failover_claim>{{2, "host", "", false, 0}, {2, "host", "r", false, 2}});
     }
     SECTION("goes on in another attempt with the demoted primary and one replica unaccounted for") {
         test.host.directory.upsert_instance(model::listed_instance("s", false));
