Leadership is proved while contact with the group is unbroken, or by the claim

Cause: a promotion ends the pauses of the whole group. A commit that hung meanwhile, or one acknowledged through an instance that no host knew yet, was passed on without a question if a replica had answered 150 ms ago; and a commit of an earlier term if its instance led again.

Change: the gateway of a primary keeps contact with the established replicas in intervals shorter than any pause for a promotion (unbroken_contact), with one question per 100 ms while a group is in use. Once it breaks, the group's claim must show that no newer term may have been promoted; if the platform is down and most hosts are live, all members must confirm the primary. Both leadership checks and commits need it. A commit that took over 150 ms needs an established replica that has it, and a commit counts only for the term that its instance leads.

--- a/src/session/checked_answer.hpp
+++ b/src/session/checked_answer.hpp
@@ -3,6 +3,7 @@
 /// commit outlasts a failover.
 #pragma once
 
+#include "runtime/event_loop.hpp"
 #include "session/upstream_work.hpp"
 
 #include <functional>
@@ -53,10 +54,11 @@
     };
 }
 
-/// Reports whether the primary's commits up to the position outlast a failover.
+/// Reports whether the primary's commits up to the position, which took that long to be answered,
+/// outlast a failover.
 using commit_confirmation =
     std::function<void(const std::string& group, const std::string& instance, const log_position&,
-                       std::function<void(bool)>)>;
+                       duration took, std::function<void(bool)>)>;
 
 /// Whether the work's answer tells its caller that changes are committed.
 inline bool commits_changes(const upstream_work& work) {
@@ -71,16 +73,18 @@
                                                const std::string& group,
                                                const std::string& instance,
                                                answer_handler on_answer) {
-    return [confirm, group, instance,
+    return [confirm, group, instance, requested_at = event_loop::now(),
             on_answer = std::move(on_answer)](const statement_answer& answer) {
         if (answer.result != upstream_result::done || answer.position == log_position{}) {
             on_answer(answer);
             return;
         }
-        confirm(group, instance, answer.position, [on_answer, answer](bool confirmed) {
-            on_answer(confirmed ? answer
-                                : statement_answer{upstream_result::unanswered, {}, {}, {}});
-        });
+        confirm(group, instance, answer.position, event_loop::now() - requested_at,
+                [on_answer, answer](bool confirmed) {
+                    on_answer(confirmed
+                                  ? answer
+                                  : statement_answer{upstream_result::unanswered, {}, {}, {}});
+                });
     };
 }
 
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -36,6 +36,33 @@
     : m_loop(loop), m_directory(directory), m_router(router), m_fleet(peers),
       m_platform(std::move(platform)) {}
 
+leadership_sources failover_service::make_leadership_sources() {
+    leadership_sources sources;
+    sources.members = [this](const std::string& group) {
+        const auto found = m_groups.find(group);
+        return found == m_groups.end() ? std::set<std::string>() : found->second.roster.members();
+    };
+    sources.platform_reachable = m_platform.reachable;
+    sources.read_claim = [this](const std::string& group, auto on_claim) {
+        spawn(read_claim(group, std::move(on_claim)));
+    };
+    return sources;
+}
+
+task<void>
+failover_service::read_claim(std::string group,
+                             std::function<void(const std::optional<failover_claim>&)> on_claim) {
+    std::optional<failover_claim> claim;
+    if (m_platform.reachable()) {
+        const stored_claim stored = co_await m_platform.read(group);
+        const bool unreadable = stored.revision > 0 && stored.claim.term == 0;
+        if (stored.succeeded && !unreadable) {
+            claim = stored.claim;
+        }
+    }
+    on_claim(claim);
+}
+
 void failover_service::record_acknowledged(const std::string& group, const log_position& position) {
     log_position& known = m_acknowledged[group];
     known = std::max(known, position);
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -71,6 +71,9 @@
     /// should probe it as well.
     bool is_suspected(const std::string& instance) const { return m_suspected.contains(instance); }
 
+    /// What the router needs to prove a primary's leadership.
+    leadership_sources make_leadership_sources();
+
     /// Records that this host has acknowledged a commit at this position to a caller.
     void record_acknowledged(const std::string& group, const log_position& position);
     /// The newest position that this host has acknowledged, by group.
@@ -133,6 +136,8 @@
         std::shared_ptr<command_progress> commands = std::make_shared<command_progress>();
     };
 
+    task<void> read_claim(std::string group,
+                          std::function<void(const std::optional<failover_claim>&)> on_claim);
     void tick();
     void evaluate_group(const std::string& group, time_point now);
     failover_evidence collect_evidence(const std::string& group,
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -12,6 +12,10 @@
 // A commit that no established replica has received by then has an unknown outcome.
 constexpr std::chrono::milliseconds commit_confirmation_timeout{600};
 constexpr std::chrono::milliseconds commit_round_pause{4};
+// A commit that took longer may have waited until an instance received it that no host knows yet.
+constexpr std::chrono::milliseconds delayed_commit_threshold{150};
+// Contact with a group is kept for this long after the last check.
+constexpr std::chrono::seconds contact_retention{3};
 
 bool has_replicas(const fleet_directory& directory, const std::string& group,
                   const std::string& primary) {
@@ -129,7 +133,12 @@
     }
     const auto primary = m_directory.primary(listed->group);
     if (primary && confirms_leadership(status, *primary)) {
-        established_in(listed->group).record_answer(instance, requested_at);
+        established_replicas& replicas = established_in(listed->group);
+        replicas.record_answer(instance, requested_at);
+        if (replicas.is_established(instance)) {
+            contact_with(listed->group)
+                .contact.record_confirmation(requested_at, event_loop::now());
+        }
     }
 }
 
@@ -151,12 +160,159 @@
     if (const auto& configuration = m_directory.configuration()) {
         for (const auto& [name, group] : configuration->groups) {
             established_in(name, now);
+            keep_contact(name, now);
         }
     }
 }
 
+upstream_router::group_contact& upstream_router::contact_with(const std::string& group) {
+    group_contact& state = m_contacts[group];
+    const known_primary primary = m_directory.primary(group).value_or(known_primary{});
+    if (state.primary != primary) {
+        state.primary = primary;
+        state.contact.reset();
+    }
+    return state;
+}
+
+void upstream_router::keep_contact(const std::string& group, time_point now) {
+    const group_contact& state = contact_with(group);
+    if (now - state.used_at > contact_retention || !state.contact.needs_confirmation(now)) {
+        return;
+    }
+    const auto replicas = confirming_replicas(group, state.primary.instance);
+    if (!replicas.empty()) {
+        send_command(replicas.front(), replication_command::report, 0,
+                     [](const std::optional<replication_status>&) {});
+    }
+}
+
+std::set<std::string> upstream_router::members_of(const std::string& group) const {
+    std::set<std::string> members;
+    if (m_sources.members) {
+        members = m_sources.members(group);
+    }
+    for (const auto& [id, instance] : m_directory.members(group)) {
+        members.insert(id);
+    }
+    return members;
+}
+
+// Calls `on_checked` with whether the group's primary led it at some time after the call, or after
+// the last confirmation if contact is unbroken.
+void upstream_router::require_contact(const std::string& group,
+                                      std::function<void(bool)> on_checked) {
+    group_contact& state = contact_with(group);
+    const time_point now = event_loop::now();
+    state.used_at = now;
+    if (commits_without_replicas(group) || state.contact.unbroken(now)) {
+        on_checked(true);
+        return;
+    }
+    state.waiting.push_back(std::move(on_checked));
+    if (!state.restoring) {
+        restore_contact(group);
+    }
+}
+
+void upstream_router::restore_contact(const std::string& group) {
+    group_contact& state = contact_with(group);
+    state.restoring = true;
+    state.served = std::exchange(state.waiting, {});
+    const restoration next{group, state.primary, event_loop::now(), {}, {}};
+    if (!m_sources.platform_reachable || !m_sources.platform_reachable()) {
+        restore_by_members(next);
+        return;
+    }
+    m_sources.read_claim(group, [this, next](const std::optional<failover_claim>& claim) {
+        if (!claim) {
+            restore_by_members(next);
+            return;
+        }
+        // Claims store a term before its promotion is requested.
+        finish_restoring(next, claim->promoted_term <= next.primary.term, next.requested_at);
+    });
+}
+
+// All members answering proves it where the platform is down. A host that is cut off from most
+// others may not know all members.
+void upstream_router::restore_by_members(restoration asked) {
+    const time_point now = event_loop::now();
+    const std::size_t live = m_fleet->live_peers(now).size() + 1;
+    bool all_reachable = 2 * live > m_fleet->presumed_host_count(now);
+    asked.requested_at = now;
+    for (const auto& id : members_of(asked.group)) {
+        if (id == asked.primary.instance) {
+            continue;
+        }
+        const upstream_instance* listed = m_directory.instance(id);
+        all_reachable = all_reachable && listed != nullptr && status_of(*listed).reachable;
+        const bool old = established_in(asked.group).may_be_asked(id, now);
+        (old ? asked.first : asked.rest).push_back(id);
+    }
+    if (all_reachable && !asked.first.empty()) {
+        ask_members(asked);
+    } else {
+        finish_restoring(asked, false, now);
+    }
+}
+
+// New members are asked last: their answers only show that none of them has been promoted.
+void upstream_router::ask_members(const restoration& asked) {
+    struct answers {
+        std::size_t missing = 0;
+        bool all_confirm = true;
+    };
+    const auto collected = std::make_shared<answers>();
+    collected->missing = asked.first.size();
+    for (const auto& id : asked.first) {
+        send_command(id, replication_command::report, 0,
+                     [this, asked, collected](const std::optional<replication_status>& status) {
+                         collected->all_confirm = collected->all_confirm && status &&
+                                                  confirms_leadership(*status, asked.primary);
+                         if (--collected->missing == 0) {
+                             finish_asking(asked, collected->all_confirm);
+                         }
+                     });
+    }
+}
+
+void upstream_router::finish_asking(const restoration& asked, bool all_confirm) {
+    const established_replicas& replicas = established_in(asked.group);
+    const bool any_established =
+        std::any_of(asked.first.begin(), asked.first.end(),
+                    [&](const auto& id) { return replicas.is_established(id); });
+    if (!all_confirm || (!any_established && !asked.old_confirmed)) {
+        finish_restoring(asked, false, asked.requested_at);
+    } else if (asked.rest.empty()) {
+        finish_restoring(asked, true, asked.requested_at);
+    } else {
+        ask_members({asked.group, asked.primary, asked.requested_at, asked.rest, {}, true});
+    }
+}
+
+void upstream_router::finish_restoring(const restoration& asked, bool proved,
+                                       time_point proved_at) {
+    group_contact& state = contact_with(asked.group);
+    const bool holds = proved && asked.primary.term > 0 && state.primary == asked.primary;
+    if (holds) {
+        state.contact.restore(proved_at);
+    }
+    for (const auto& on_checked : std::exchange(state.served, {})) {
+        on_checked(holds);
+    }
+    state.restoring = false;
+    if (state.contact.unbroken(event_loop::now())) {
+        for (const auto& on_checked : std::exchange(state.waiting, {})) {
+            on_checked(true);
+        }
+    } else if (!state.waiting.empty()) {
+        restore_contact(asked.group);
+    }
+}
+
 bool upstream_router::commits_need_confirmation(const std::string& group,
-                                                const std::string& instance) {
+                                                const std::string& instance, duration took) {
     if (commits_without_replicas(group) || !has_replicas(m_directory, group, instance)) {
         return false;
     }
@@ -165,15 +321,22 @@
     const bool has_new = std::any_of(members.begin(), members.end(), [&](const auto& entry) {
         return entry.first != instance && !replicas.is_established(entry.first);
     });
-    return has_new || !replicas.in_contact(instance, event_loop::now());
+    const time_point now = event_loop::now();
+    return has_new || took > delayed_commit_threshold || !replicas.in_contact(instance, now) ||
+           !contact_with(group).contact.unbroken(now);
 }
 
 void upstream_router::confirm_commit(const std::string& group, const std::string& instance,
-                                     const log_position& position,
+                                     const log_position& position, duration took,
                                      std::function<void(bool)> on_confirmed) {
     // Only the primary of a term commits in it.
     m_directory.primary_tracker_for(group).record_primary(instance, position.term);
-    if (!commits_need_confirmation(group, instance)) {
+    if (m_directory.primary(group) != known_primary{instance, position.term}) {
+        on_confirmed(false);
+        return;
+    }
+    contact_with(group).used_at = event_loop::now();
+    if (!commits_need_confirmation(group, instance, took)) {
         on_confirmed(true);
         return;
     }
@@ -207,14 +370,15 @@
                              std::vector<commit_request> confirmed;
                              std::erase_if(
                                  m_commit_rounds[group].waiting, [&](commit_request& request) {
-                                     const bool received = status->received >= request.position;
+                                     const bool received = request.position.term == primary->term &&
+                                                           status->received >= request.position;
                                      if (received) {
                                          confirmed.push_back(std::move(request));
                                      }
                                      return received;
                                  });
                              for (const auto& request : confirmed) {
-                                 request.on_confirmed(true);
+                                 require_contact(group, request.on_confirmed);
                              }
                          }
                          if (--*unanswered == 0) {
@@ -410,6 +574,10 @@
         on_checked(sole_instance);
         return;
     }
+    if (!contact_with(group).contact.unbroken(event_loop::now())) {
+        require_contact(group, std::move(on_checked));
+        return;
+    }
     const std::string replica = confirming_replicas.front();
     confirming_replicas.erase(confirming_replicas.begin());
     send_command(
@@ -423,8 +591,12 @@
                                      std::move(on_checked));
                 return;
             }
-            on_checked(current_primary && current_primary->instance == instance &&
-                       confirms_leadership(*status, *current_primary));
+            if (!current_primary || current_primary->instance != instance ||
+                !confirms_leadership(*status, *current_primary)) {
+                on_checked(false);
+                return;
+            }
+            require_contact(group, std::move(on_checked));
         });
 }
 
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "bronzeplank/established_replicas.hpp"
+#include "bronzeplank/failover.hpp"
+#include "bronzeplank/unbroken_contact.hpp"
 #include "session/fleet.hpp"
 #include "session/fleet_directory.hpp"
 #include "session/upstream_work.hpp"
@@ -10,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +28,17 @@
     std::function<std::optional<pool_status>(const std::string&)> status;
 };
 
+/// Where the router finds out whether a group may have another primary.
+struct leadership_sources {
+    /// The group's instances that may be running, listed or not.
+    std::function<std::set<std::string>(const std::string& group)> members;
+    std::function<bool()> platform_reachable;
+    /// Reads the group's claim; empty if the platform doesn't answer.
+    std::function<void(const std::string& group,
+                       std::function<void(const std::optional<failover_claim>&)>)>
+        read_claim;
+};
+
 /// Selects the gateway of each instance, and checks which instance is the primary.
 ///
 /// Leadership check: before an instance is promoted, every reachable replica is paused with the new
@@ -34,8 +48,13 @@
 /// answer serves all checks that were requested before the replica was queried. Only established
 /// replicas are queried: a host that promotes another instance may not know a new one.
 ///
+/// A promotion ends the pauses, and a replica that can't hear the successor confirms the old
+/// primary again. Therefore a check passes only while the contact with the group is unbroken; it is
+/// restored once all members confirm the primary, or the platform has no newer claim.
+///
 /// Commit confirmation: while a group has a new replica, or no established one has answered lately,
-/// a commit is acknowledged only once an established replica is seen to have received it.
+/// or if the commit was delayed, it is acknowledged only once an established replica is seen to
+/// have received it, and the primary still led then.
 ///
 /// Usage: call connect() once, then send work to `gateway_of(instance)` with run().
 class upstream_router {
@@ -47,6 +66,9 @@
     /// each other.
     void connect(fleet& peers, local_gateway gateway);
 
+    /// Without sources, the listed instances are a group's members, and claims can't be read.
+    void set_leadership_sources(leadership_sources sources) { m_sources = std::move(sources); }
+
     /// Called when this host stops: it is no longer chosen as a gateway unless no other host is
     /// live.
     void leave() { m_leaving = true; }
@@ -78,9 +100,11 @@
 
     /// Checks that the primary's commits up to `position` outlast a failover. Calls `on_confirmed`
     /// immediately unless an established replica has to be asked; with false if none has received
-    /// the position in time.
+    /// the position in time, or the instance may have been replaced.
+    /// \param took the time from the request to the primary's answer
     void confirm_commit(const std::string& group, const std::string& instance,
-                        const log_position& position, std::function<void(bool)> on_confirmed);
+                        const log_position& position, duration took,
+                        std::function<void(bool)> on_confirmed);
 
     /// Notes which instances are new; to be called several times a second.
     void observe_instances(time_point now);
@@ -133,6 +157,29 @@
         std::vector<leadership_request> waiting;
     };
 
+    /// The contact with a group under its present primary.
+    struct group_contact {
+        known_primary primary;
+        unbroken_contact contact;
+        /// When a check was last requested; contact is kept for a while afterwards.
+        time_point used_at{};
+        bool restoring = false;
+        /// Checks that the running restoration serves, and those that came too late for it.
+        std::vector<std::function<void(bool)>> served;
+        std::vector<std::function<void(bool)>> waiting;
+    };
+
+    /// An attempt to prove that a primary still leads its group.
+    struct restoration {
+        std::string group;
+        known_primary primary;
+        time_point requested_at{};
+        /// The members to ask, and those to ask afterwards.
+        std::vector<std::string> first;
+        std::vector<std::string> rest;
+        bool old_confirmed = false;
+    };
+
     struct commit_request {
         log_position position;
         time_point deadline;
@@ -147,7 +194,17 @@
 
     established_replicas& established_in(const std::string& group);
     established_replicas& established_in(const std::string& group, time_point now);
-    bool commits_need_confirmation(const std::string& group, const std::string& instance);
+    group_contact& contact_with(const std::string& group);
+    void keep_contact(const std::string& group, time_point now);
+    void require_contact(const std::string& group, std::function<void(bool)> on_checked);
+    void restore_contact(const std::string& group);
+    void ask_members(const restoration& asked);
+    void finish_asking(const restoration& asked, bool all_confirm);
+    void restore_by_members(restoration asked);
+    void finish_restoring(const restoration& asked, bool proved, time_point proved_at);
+    std::set<std::string> members_of(const std::string& group) const;
+    bool commits_need_confirmation(const std::string& group, const std::string& instance,
+                                   duration took);
     void start_commit_round(const std::string& group, const std::string& instance);
     void finish_commit_round(const std::string& group, const std::string& instance);
     std::string find_gateway(const upstream_instance& instance, bool unreachable_here) const;
@@ -175,6 +232,8 @@
     std::map<std::string, position_round> m_position_rounds;
     std::map<std::string, established_replicas> m_established;
     std::map<std::string, commit_round> m_commit_rounds;
+    std::map<std::string, group_contact> m_contacts;
+    leadership_sources m_sources;
     bool m_leaving = false;
 };
 
--- a/test/session/upstream_router_test.cpp
+++ b/test/session/upstream_router_test.cpp
@@ -151,7 +151,8 @@
     SECTION("does not suffice for a commit") {
         std::optional<bool> confirmed;
         const auto confirm = [&] {
-            host.router.confirm_commit("g", "p", {1, 30}, [&](bool value) { confirmed = value; });
+            host.router.confirm_commit("g", "p", {1, 30}, duration(0),
+                                       [&](bool value) { confirmed = value; });
         };
         REQUIRE(leadership_confirmed(host));
         host.reports["n"].received = {1, 30};
@@ -180,7 +181,8 @@
     model::single_host host;
     std::optional<bool> confirmed;
     const auto confirm = [&] {
-        host.router.confirm_commit("g", "p", {1, 30}, [&](bool value) { confirmed = value; });
+        host.router.confirm_commit("g", "p", {1, 30}, duration(0),
+                                   [&](bool value) { confirmed = value; });
     };
     SECTION("is acknowledged without another question while one of them answers") {
         REQUIRE(leadership_confirmed(host));
@@ -189,6 +191,15 @@
         REQUIRE(confirmed == true);
         REQUIRE(host.commands.empty());
     }
+    SECTION("which hung waits for one that has it: an unknown instance may have acknowledged it") {
+        REQUIRE(leadership_confirmed(host));
+        host.router.confirm_commit("g", "p", {1, 30}, std::chrono::milliseconds(200),
+                                   [&](bool value) { confirmed = value; });
+        REQUIRE_FALSE(confirmed);
+        host.reports["r"].received = {1, 30};
+        REQUIRE(host.run_until([&] { return confirmed.has_value(); }));
+        REQUIRE(confirmed == true);
+    }
     SECTION("waits for one of them if none has answered lately") {
         host.reports["r"].received = {1, 30};
         confirm();
@@ -202,6 +213,74 @@
     }
 }
 
+TEST_CASE("a primary whose group may have another one since contact broke") {
+    model::single_host host;
+    std::optional<failover_claim> claim;
+    std::set<std::string> members{"p", "r", "unlisted"};
+    bool platform_reachable = true;
+    leadership_sources sources;
+    sources.members = [&](const std::string&) { return members; };
+    sources.platform_reachable = [&] { return platform_reachable; };
+    sources.read_claim = [&](const std::string&, const auto& on_claim) { on_claim(claim); };
+    host.router.set_leadership_sources(sources);
+    host.directory.primary_tracker_for("g").record_primary("p", 2);
+    host.reports["p"] = make_status(replication_role::primary, 2);
+    host.reports["r"] = {replication_role::replica, 2, {2, 30}, 0};
+    std::optional<bool> acknowledged;
+    const auto confirmed = [&] {
+        acknowledged.reset();
+        host.router.confirm_commit("g", "p", {2, 30}, duration(0),
+                                   [&](bool value) { acknowledged = value; });
+        host.run_until([&] { return acknowledged.has_value(); });
+        REQUIRE(leadership_confirmed(host) == acknowledged.value());
+        return *acknowledged;
+    };
+
+    SECTION("is confirmed by no replica alone: the promotion may have ended its pause") {
+        REQUIRE_FALSE(confirmed());
+    }
+    SECTION("is not confirmed if a newer term may have been promoted") {
+        claim = failover_claim{3, "other", "unlisted", false, 3};
+        REQUIRE_FALSE(confirmed());
+        SECTION("although its claim was superseded by one that was abandoned") {
+            claim = failover_claim{4, "other", "", true, 3};
+            REQUIRE_FALSE(confirmed());
+        }
+    }
+    SECTION("is confirmed if no newer term was promoted, whatever was claimed") {
+        claim = failover_claim{5, "other", "", false, 2};
+        REQUIRE(confirmed());
+        SECTION("and as long as replicas go on confirming it") {
+            claim.reset();
+            REQUIRE(confirmed());
+        }
+        SECTION("but not for a commit of a term that it led before") {
+            host.router.confirm_commit("g", "p", {1, 30}, duration(0),
+                                       [&](bool value) { acknowledged = value; });
+            REQUIRE(acknowledged == false);
+        }
+    }
+    SECTION("is confirmed while the platform is down") {
+        platform_reachable = false;
+        members.erase("unlisted");
+        SECTION("if all members say that they follow it") {
+            REQUIRE(confirmed());
+        }
+        SECTION("but not if one can't be asked") {
+            members.insert("unlisted");
+            REQUIRE_FALSE(confirmed());
+        }
+        SECTION("but not if most hosts are out of reach, which may know other members") {
+            for (const char* name : {"host", "h2", "h3"}) {
+                auto hosts = host.directory.hosts();
+                hosts[name] = {name, "a", {"127.0.0.1", 7591}};
+                host.directory.set_registered_hosts(hosts);
+            }
+            REQUIRE_FALSE(confirmed());
+        }
+    }
+}
+
 TEST_CASE("replicas that are all past their probation") {
     model::single_host host;
     const time_point earlier = event_loop::now() - 2 * established_replicas::probation;
