An instance that left counts until another replica has what only it and the primary had

Change: the roster drops such an instance only once a primary has reported its position after the instance was gone, and an established replica that stays has received that position and follows the primary's term, not paused by a newer claim. A newer primary's report replaces the older one's: its coordinator has accounted for what was acknowledged before. Each host asks the primary, then the replicas, once a second while an instance awaits this, each host at its own offset.

Tests: group_roster_test had required the old rule (dropped when the primary is reachable); these sections now require the answers as well, and new ones name each answer that doesn't suffice.

--- a/include/bronzeplank/group_roster.hpp
+++ b/include/bronzeplank/group_roster.hpp
@@ -1,24 +1,38 @@
 /// \file
-/// The instances of a group that may be running, whether the platform lists them or not.
+/// The instances of a group that a failover has to account for, listed by the platform or not.
 #pragma once
 
+#include "bronzeplank/primary_tracker.hpp"
+#include "bronzeplank/statement.hpp"
 #include "bronzeplank/time.hpp"
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
 namespace bronzeplank {
 
-/// Remembers the instances of a group that may still run: an instance that loses the platform
-/// becomes unlisted, yet may go on acknowledging commits together with a primary that this host
-/// can't reach. A failover has to account for all of them.
+/// Remembers the instances of a group whose logs a failover has to account for: an instance that
+/// loses the platform becomes unlisted, yet may go on acknowledging commits together with a primary
+/// that this host can't reach; and one that has exited may have been the only one besides the
+/// primary that had received some of them.
 ///
 /// Guarantee: an instance is left out only if it left as planned while hosts could reach it, and
-/// the primary was reachable some time afterwards, or after `unlisted_retention`.
+/// another replica has since been seen to have every commit that it may have helped to
+/// acknowledge; or after `unlisted_retention`.
 ///
-/// Usage: `roster.update(listed, primary_reachable, now); const auto members = roster.members();`
+/// The evidence is a position that a primary reported once the instance was gone, and an
+/// established replica that stays, has received that position and follows the primary's term, not
+/// paused by a newer claim. What the instance had acknowledged with this primary is below the
+/// position. What it had acknowledged in earlier terms is in the primary's log, for which the
+/// primary's coordinator accounted. In a newer term it had acknowledged nothing, since the replica
+/// would have been paused for it. Thus the evidence may come from any primary, and that of a newer
+/// one replaces that of the one before.
+///
+/// Usage: `roster.update(listed, now); if (roster.awaits_answers()) {}` ask the instances and call
+/// `roster.record_answer(id, status, established, requested_at)`; `roster.members()`.
 class group_roster {
 public:
     /// How long an unlisted instance counts as running. Longer than regions lose each other for.
@@ -35,20 +49,40 @@
     };
 
     /// Updates the roster; to be called several times a second.
-    void update(const std::map<std::string, listed_member>& listed, bool primary_reachable,
-                time_point now);
+    void update(const std::map<std::string, listed_member>& listed, time_point now);
+
+    /// Whether answers of the primary and the replicas may show that an instance can be left out.
+    bool awaits_answers() const;
+
+    /// Takes what an instance answered to a question that was sent at `requested_at`.
+    /// \param established whether every host that may replace the primary knows the instance
+    void record_answer(const std::string& instance, const replication_status& status,
+                       bool established, time_point requested_at);
 
-    /// The instances that may be running.
+    /// The instances that a failover has to account for.
     std::set<std::string> members() const;
 
 private:
+    struct primary_report {
+        known_primary primary;
+        log_position position;
+    };
+
     struct known_member {
+        bool listed = false;
         bool leaving = false;
         time_point last_listed;
         time_point last_reachable;
+        /// Reported after the instance was gone.
+        std::optional<primary_report> report;
+        /// A replica has received the reported position.
+        bool settled = false;
     };
 
+    static bool exited(const known_member& known);
+
     std::map<std::string, known_member> m_members;
+    time_point m_updated_at{};
 };
 
 } // namespace bronzeplank
--- a/src/core/group_roster.cpp
+++ b/src/core/group_roster.cpp
@@ -1,35 +1,69 @@
 #include "bronzeplank/group_roster.hpp"
 
+#include <algorithm>
+
 namespace bronzeplank {
 
-void group_roster::update(const std::map<std::string, listed_member>& listed,
-                          bool primary_reachable, time_point now) {
+void group_roster::update(const std::map<std::string, listed_member>& listed, time_point now) {
+    m_updated_at = now;
+    for (auto& [id, known] : m_members) {
+        known.listed = listed.contains(id);
+    }
     for (const auto& [id, seen] : listed) {
         const auto [entry, added] = m_members.try_emplace(id);
         known_member& known = entry->second;
+        known.listed = true;
         known.leaving = seen.leaving;
         known.last_listed = now;
+        known.report.reset();
+        known.settled = false;
         if (seen.reachable || added) {
             known.last_reachable = now;
         }
     }
     std::erase_if(m_members, [&](const auto& entry) {
         const known_member& known = entry.second;
-        if (known.last_listed == now) {
-            return false;
-        }
-        const duration unlisted_for = now - known.last_listed;
-        // The platform drops the entry of an instance that exits at once, and that of a silent one
-        // only after several heartbeat intervals. By then, hosts have found the latter unreachable.
-        const bool exited =
-            known.leaving && known.last_listed - known.last_reachable < detection_time;
-        // Commits that only the primary and the instance had have reached another replica if the
-        // primary was not cut off by then.
-        const bool settled = primary_reachable && unlisted_for >= detection_time;
-        return (exited && settled) || unlisted_for > unlisted_retention;
+        return (exited(known) && known.settled) || now - known.last_listed > unlisted_retention;
+    });
+}
+
+// The platform drops the entry of an instance that exits at once, and that of a silent one only
+// after several heartbeat intervals. By then, hosts have found the latter unreachable.
+bool group_roster::exited(const known_member& known) {
+    return !known.listed && known.leaving &&
+           known.last_listed - known.last_reachable < detection_time;
+}
+
+bool group_roster::awaits_answers() const {
+    return std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) {
+        const known_member& known = entry.second;
+        return exited(known) && m_updated_at - known.last_listed >= detection_time;
     });
 }
 
+void group_roster::record_answer(const std::string& instance, const replication_status& status,
+                                 bool established, time_point requested_at) {
+    const auto answering = m_members.find(instance);
+    const bool stays =
+        answering != m_members.end() && answering->second.listed && !answering->second.leaving;
+    for (auto& [id, known] : m_members) {
+        if (!exited(known) || requested_at - known.last_listed < detection_time) {
+            continue;
+        }
+        std::optional<primary_report>& report = known.report;
+        if (status.role == replication_role::primary) {
+            // The first report of a term stays, so that replicas that lag catch up with it.
+            if (!report || report->primary.term < status.term) {
+                report = {{instance, status.term}, status.received};
+            }
+        } else if (report && stays && established && instance != report->primary.instance &&
+                   confirms_leadership(status, report->primary) &&
+                   status.received >= report->position) {
+            known.settled = true;
+        }
+    }
+}
+
 std::set<std::string> group_roster::members() const {
     std::set<std::string> found;
     for (const auto& [id, known] : m_members) {
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -15,6 +15,7 @@
 // The old primary is demoted first if a replica has not answered by then.
 constexpr std::chrono::milliseconds demotion_delay{250};
 constexpr std::chrono::milliseconds poll_interval{30};
+constexpr std::chrono::milliseconds roster_question_interval{1000};
 // A promotion takes a few hundred milliseconds; one that exceeds the timeout has failed.
 constexpr std::chrono::milliseconds promotion_timeout{3000};
 constexpr std::chrono::milliseconds follow_timeout{600};
@@ -92,10 +93,11 @@
     }
     group_state& state = m_groups[group];
     const auto primary = m_directory.primary(group);
-    state.roster.update(listed, primary && listed.at(primary->instance).reachable, now);
+    state.roster.update(listed, now);
     if (!primary) {
         return;
     }
+    settle_roster(group, primary->instance, now);
     const bool promoted = primary->instance != state.last_primary ||
                           (primary->term > state.last_term && state.last_term > 0);
     if (promoted) {
@@ -106,6 +108,47 @@
     state.last_term = primary->term;
 }
 
+// Every host needs the answers, as any of them may have to replace the primary; they ask at
+// different times.
+void failover_service::settle_roster(const std::string& group, const std::string& primary,
+                                     time_point now) {
+    group_state& state = m_groups[group];
+    if (!state.roster.awaits_answers()) {
+        state.next_roster_question_at.reset();
+        return;
+    }
+    if (!state.next_roster_question_at) {
+        const auto offset = stable_hash(m_router.host(), group) %
+                            static_cast<std::uint64_t>(roster_question_interval.count());
+        state.next_roster_question_at = now + std::chrono::milliseconds(offset);
+    }
+    if (now >= *state.next_roster_question_at) {
+        state.next_roster_question_at = now + roster_question_interval;
+        spawn(ask_for_roster(group, primary));
+    }
+}
+
+task<void> failover_service::ask_for_roster(std::string group, std::string primary) {
+    const time_point requested_at = event_loop::now();
+    const auto status = co_await send_command(primary, replication_command::report, 0);
+    if (!status) {
+        co_return;
+    }
+    m_groups[group].roster.record_answer(primary, *status, false, requested_at);
+    const time_point replicas_requested_at = event_loop::now();
+    for (const auto& replica : other_members(group, primary)) {
+        m_router.send_command(replica, replication_command::report, 0,
+                              [this, group, replica, replicas_requested_at](
+                                  const std::optional<replication_status>& answer) {
+                                  if (answer) {
+                                      m_groups[group].roster.record_answer(
+                                          replica, *answer, m_router.is_established(group, replica),
+                                          replicas_requested_at);
+                                  }
+                              });
+    }
+}
+
 // Whether a failover can succeed as far as this host can tell. One that can't would only pause
 // replicas that the old primary may need.
 bool failover_service::can_account_for_members(const std::string& group,
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -88,6 +88,8 @@
         std::uint64_t claim_revision = 0;
         time_point claim_seen_at{};
         group_roster roster;
+        /// When this host next asks about an instance that has left.
+        std::optional<time_point> next_roster_question_at;
         /// The last known primary; it may be unlisted.
         std::string last_primary;
         std::uint64_t last_term = 0;
@@ -117,6 +119,8 @@
     task<void> run_failover(std::string group, std::string old_primary, failover_reason reason);
     task<bool> acquire_claim(failover_attempt& attempt);
     void update_roster(const std::string& group, time_point now);
+    void settle_roster(const std::string& group, const std::string& primary, time_point now);
+    task<void> ask_for_roster(std::string group, std::string primary);
     bool can_account_for_members(const std::string& group, failover_reason reason) const;
     void log_waiting(const std::string& group, group_state& state);
     task<std::string> pause_and_choose_successor(failover_attempt& attempt);
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -85,6 +85,11 @@
     /// Notes which instances are new; to be called several times a second.
     void observe_instances(time_point now);
 
+    /// Whether every host that may replace the group's primary knows the instance.
+    bool is_established(const std::string& group, const std::string& instance) {
+        return established_in(group).is_established(instance);
+    }
+
     /// The pool status of an instance as its gateway reports it, or as this host sees it.
     pool_status status_of(const upstream_instance& instance) const;
 
--- a/test/group_roster_test.cpp
+++ b/test/group_roster_test.cpp
@@ -13,56 +13,186 @@
 
 const time_point start{std::chrono::hours(1)};
 
+const replication_status primary_at_27{replication_role::primary, 3, {3, 27}, 0};
+const replication_status replica_at_26{replication_role::replica, 3, {3, 26}, 0};
+const replication_status replica_at_27{replication_role::replica, 3, {3, 27}, 0};
+
 } // namespace
 
 TEST_CASE("an instance of the group") {
     group_roster roster;
-    roster.update({{"i", {}}, {"j", {}}}, true, start);
+    roster.update({{"i", {}}, {"j", {}}}, start);
 
     SECTION("is a member while it is listed") {
         REQUIRE(roster.members() == members{"i", "j"});
     }
     SECTION("that became unlisted may run on where it can't reach the platform") {
         const time_point later = start + group_roster::unlisted_retention;
-        roster.update({{"j", {}}}, true, later);
+        roster.update({{"j", {}}}, later);
         REQUIRE(roster.members() == members{"i", "j"});
         SECTION("but is forgotten after a cut has lasted longer than any is expected to") {
-            roster.update({{"j", {}}}, true, later + milliseconds(1));
+            roster.update({{"j", {}}}, later + milliseconds(1));
             REQUIRE(roster.members() == members{"j"});
         }
     }
-    SECTION("that leaves") {
-        const duration detection = group_roster::detection_time;
-        const time_point leaves = start + seconds(5);
-        listed both{{"i", {.leaving = true}}, {"j", {}}};
-        roster.update(both, true, leaves);
-        SECTION("is a member until it is gone: it counts toward acknowledgements") {
-            REQUIRE(roster.members() == members{"i", "j"});
-        }
-        SECTION("is one for a moment longer: a cut may not have been noticed yet") {
-            roster.update({{"j", {}}}, true, leaves + detection - milliseconds(1));
-            REQUIRE(roster.members() == members{"i", "j"});
-            SECTION("and then no longer") {
-                roster.update({{"j", {}}}, true, leaves + detection);
-                REQUIRE(roster.members() == members{"j"});
+}
+
+TEST_CASE("an instance that leaves, of a group with the primary p and the replicas j and k") {
+    const duration detection = group_roster::detection_time;
+    const time_point leaves = start + seconds(5);
+    const time_point gone = leaves + detection;
+    const members all{"i", "j", "k", "p"};
+    const members others{"j", "k", "p"};
+    listed before{{"i", {.leaving = true}}, {"j", {}}, {"k", {.leaving = true}}, {"p", {}}};
+    listed after = before;
+    after.erase("i");
+    group_roster roster;
+    roster.update(before, start);
+    roster.update(before, leaves);
+    time_point now = leaves;
+    const auto answer = [&](const char* id, const replication_status& status,
+                            bool established = true) {
+        roster.record_answer(id, status, established, now);
+        roster.update(after, now);
+    };
+
+    SECTION("is a member until it is gone: it counts toward acknowledgements") {
+        REQUIRE(roster.members() == all);
+        REQUIRE_FALSE(roster.awaits_answers());
+    }
+    SECTION("is one for a moment longer: a cut may not have been noticed yet") {
+        now = gone - milliseconds(1);
+        roster.update(after, now);
+        REQUIRE_FALSE(roster.awaits_answers());
+        answer("p", primary_at_27);
+        answer("j", replica_at_27);
+        REQUIRE(roster.members() == all);
+    }
+    SECTION("is one after that: only the primary may have what the two have acknowledged") {
+        now = gone;
+        roster.update(after, now);
+        REQUIRE(roster.members() == all);
+        REQUIRE(roster.awaits_answers());
+
+        SECTION("also if a host reaches the primary for a moment") {
+            answer("p", primary_at_27);
+            REQUIRE(roster.members() == all);
+
+            SECTION("and a replica that has not received it all yet") {
+                answer("j", replica_at_26);
+                REQUIRE(roster.members() == all);
+                SECTION("but no longer once it has, though the primary is further by then") {
+                    answer("p", {replication_role::primary, 3, {3, 28}, 0});
+                    answer("j", replica_at_27);
+                    REQUIRE(roster.members() == others);
+                    REQUIRE_FALSE(roster.awaits_answers());
+                }
+            }
+            SECTION("and a replica that leaves too") {
+                answer("k", replica_at_27);
+                REQUIRE(roster.members() == all);
+            }
+            SECTION("and a replica that the next coordinator may not know") {
+                answer("j", replica_at_27, false);
+                REQUIRE(roster.members() == all);
             }
-            SECTION("and remains one if the primary is cut off: it may have commits that only the "
-                    "exited instance had") {
-                roster.update({{"j", {}}}, false, leaves + detection);
-                REQUIRE(roster.members() == members{"i", "j"});
+            SECTION("and answers again as a replica: it is still the only one") {
+                answer("p", {replication_role::replica, 3, {3, 27}, 0});
+                REQUIRE(roster.members() == all);
+            }
+            SECTION("and a replica that is no longer listed") {
+                after.erase("j");
+                roster.update(after, now);
+                answer("j", replica_at_27);
+                REQUIRE(roster.members() == all);
+            }
+            SECTION("and a replica paused for a newer primary, with which it may have acknowledged "
+                    "more") {
+                answer("j", {replication_role::replica, 3, {3, 27}, 4});
+                REQUIRE(roster.members() == all);
+            }
+            SECTION("and a replica of the newer primary") {
+                answer("j", {replication_role::replica, 4, {4, 3}, 0});
+                REQUIRE(roster.members() == all);
+                SECTION("until the newer primary and the replica answer: its coordinator has "
+                        "accounted for all that was acknowledged before") {
+                    answer("k", {replication_role::primary, 4, {4, 3}, 0});
+                    REQUIRE(roster.members() == all);
+                    SECTION("and the primary of before has no say any more") {
+                        answer("p", primary_at_27);
+                        answer("j", replica_at_27);
+                        REQUIRE(roster.members() == all);
+                    }
+                    answer("j", {replication_role::replica, 4, {4, 3}, 0});
+                    REQUIRE(roster.members() == others);
+                }
+            }
+            SECTION("and it is listed again: what it acknowledges next counts anew") {
+                now = gone + seconds(1);
+                roster.update(before, now);
+                now = now + detection;
+                roster.update(after, now);
+                answer("j", replica_at_27);
+                REQUIRE(roster.members() == all);
+            }
+            SECTION("and it is listed again just as the replica answers") {
+                roster.record_answer("j", replica_at_27, true, now);
+                roster.update(before, now);
+                roster.update(after, now + detection);
+                REQUIRE(roster.members() == all);
             }
         }
-        SECTION("is none if it was unreachable only while it exited") {
-            both["i"].reachable = false;
-            roster.update(both, true, leaves + detection - milliseconds(1));
-            roster.update({{"j", {}}}, true, leaves + detection * 2);
-            REQUIRE(roster.members() == members{"j"});
+        SECTION("also if only a replica answers") {
+            answer("j", replica_at_27);
+            REQUIRE(roster.members() == all);
         }
-        SECTION("stays one if it was unreachable before: its entry may have expired") {
-            both["i"].reachable = false;
-            roster.update(both, true, leaves + detection);
-            roster.update({{"j", {}}}, true, leaves + detection * 3);
-            REQUIRE(roster.members() == members{"i", "j"});
+        SECTION("also if the primary reported its position before") {
+            roster.record_answer("p", primary_at_27, true, gone - milliseconds(1));
+            answer("j", replica_at_27);
+            REQUIRE(roster.members() == all);
         }
+        SECTION("also if the replica confirmed the primary before") {
+            answer("p", primary_at_27);
+            roster.record_answer("j", replica_at_27, true, gone - milliseconds(1));
+            roster.update(after, now);
+            REQUIRE(roster.members() == all);
+        }
+    }
+    SECTION("is none any more if the primary writes nothing and a replica answers") {
+        now = gone;
+        roster.update(after, now);
+        answer("p", primary_at_27);
+        answer("j", replica_at_27);
+        REQUIRE(roster.members() == others);
+    }
+    SECTION("is none any more, with all that has been received, if it was unreachable only while "
+            "it exited") {
+        before["i"].reachable = false;
+        roster.update(before, gone - milliseconds(1));
+        now = gone + detection;
+        roster.update(after, now);
+        answer("p", primary_at_27);
+        answer("j", replica_at_27);
+        REQUIRE(roster.members() == others);
+    }
+    SECTION("stays one if it became unlisted without leaving: it may run on") {
+        before["i"].leaving = false;
+        roster.update(before, leaves);
+        now = gone;
+        roster.update(after, now);
+        REQUIRE_FALSE(roster.awaits_answers());
+        answer("p", primary_at_27);
+        answer("j", replica_at_27);
+        REQUIRE(roster.members() == all);
+    }
+    SECTION("stays one if it was unreachable before: its entry may have expired") {
+        before["i"].reachable = false;
+        roster.update(before, gone);
+        now = gone + detection * 2;
+        roster.update(after, now);
+        REQUIRE_FALSE(roster.awaits_answers());
+        answer("p", primary_at_27);
+        answer("j", replica_at_27);
+        REQUIRE(roster.members() == all);
     }
 }
--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -331,9 +331,10 @@
             seen[id] = {known != m_instances.end() && known->second.leaving, status.has_value()};
             if (status) {
                 learn(own, id, *status);
+                own.roster.record_answer(id, *status, own.established.is_established(id), m_now);
             }
         }
-        own.roster.update(seen, ask(domain, own.known_primary_id).has_value(), m_now);
+        own.roster.update(seen, m_now);
         for (int other = 0; other < domain_count; ++other) {
             const host& peer = m_hosts.at(static_cast<std::size_t>(other));
             if (linked(other, domain) && peer.frozen_until <= m_now) {
--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -211,6 +211,79 @@
     }
 }
 
+TEST_CASE("after an instance has left as planned, in a group that nobody writes to") {
+    failover_fixture test;
+    test.host.pools["p"].reachable = true;
+    test.host.reports["p"] = make_status(replication_role::primary, 1);
+    test.host.directory.upsert_instance(model::listed_instance("s", false));
+    test.host.reports["s"] = make_status(replication_role::replica, 1);
+    const auto leave = [&](const char* id, bool says_primary) {
+        upstream_instance leaver = model::listed_instance(id, says_primary);
+        leaver.leaving = true;
+        test.host.directory.upsert_instance(leaver);
+    };
+    const auto run_for = [&](duration time) {
+        const time_point end = event_loop::now() + time;
+        while (event_loop::now() < end) {
+            test.host.run_until([&] { return event_loop::now() >= end; });
+        }
+    };
+    const auto exit = [&](const char* id) {
+        test.host.reports.erase(id);
+        test.host.directory.remove_instance(id, event_loop::now());
+        run_for(group_roster::detection_time + std::chrono::milliseconds(1300));
+    };
+    const auto cut_off = [&](const char* id) {
+        test.promoted.clear();
+        test.host.pools[id].reachable = false;
+        test.host.reports.erase(id);
+    };
+    const auto promoted = [&] { return !test.promoted.empty(); };
+    const auto reports_to = [&](const char* id) {
+        int count = 0;
+        for (std::size_t i = 0; i < test.host.commands.size(); ++i) {
+            count += test.host.command_targets[i] == id &&
+                             test.host.commands[i] == replication_command::report
+                         ? 1
+                         : 0;
+        }
+        return count;
+    };
+
+    SECTION("a primary that is cut off can be replaced soon") {
+        leave("s", false);
+        test.service->start();
+        run_for(std::chrono::milliseconds(100));
+        exit("s");
+        REQUIRE(reports_to("p") == 1);
+        REQUIRE(reports_to("r") == 1);
+        cut_off("p");
+        REQUIRE(test.host.run_until(promoted));
+        REQUIRE(test.promoted.front() == "r");
+    }
+    SECTION("which was the primary, its successor can be replaced soon") {
+        leave("p", true);
+        test.service->start();
+        REQUIRE(test.host.run_until([&] { return test.written.size() == 2; }));
+        const std::string successor = test.promoted.front();
+        const std::string other = successor == "r" ? "s" : "r";
+        test.host.reports[other] = make_status(replication_role::replica, 2);
+        exit("p");
+        cut_off(successor.c_str());
+        REQUIRE(test.host.run_until(promoted));
+        REQUIRE(test.promoted.front() == other);
+    }
+    SECTION("a primary with commits that no other instance has received is not replaced") {
+        test.host.reports["r"].received = {1, 26};
+        leave("s", false);
+        test.service->start();
+        run_for(std::chrono::milliseconds(100));
+        exit("s");
+        cut_off("p");
+        REQUIRE_FALSE(test.host.run_until(promoted));
+    }
+}
+
 TEST_CASE("a primary that another host has just promoted and that fails at once") {
     failover_fixture test;
     test.host.pools["p"].reachable = true;
