--- a/src/edge/http_exchange.cpp
+++ b/src/edge/http_exchange.cpp
@@ -24,9 +24,14 @@
 
 struct pending_reply {
     oneshot<http_reply> done;
+    bool ended = false;
 
+    // The argument is a pointer to a shared pointer: the reply is shared with run_exchange().
     static void on_answer(evhttp_request* request, void* argument) {
-        const std::unique_ptr<pending_reply> self(static_cast<pending_reply*>(argument));
+        const std::unique_ptr<std::shared_ptr<pending_reply>> owned(
+            static_cast<std::shared_ptr<pending_reply>*>(argument));
+        const std::shared_ptr<pending_reply> self = *owned;
+        self->ended = true;
         if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
             self->done.set({});
             return;
@@ -46,12 +51,18 @@
 
 task<http_reply> run_exchange(event_loop& loop, evhttp_connection* connection, endpoint target,
                               http_exchange request, duration timeout) {
+    const oneshot<http_reply> done(loop);
+    co_return co_await run_exchange(loop, connection, target, std::move(request), timeout, done);
+}
+
+task<http_reply> run_exchange(event_loop&, evhttp_connection* connection, endpoint target,
+                              http_exchange request, duration timeout, oneshot<http_reply> done) {
     const timeval timeout_value{static_cast<time_t>(timeout.count() / 1'000'000),
                                 static_cast<suseconds_t>(timeout.count() % 1'000'000)};
     evhttp_connection_set_timeout_tv(connection, &timeout_value);
-    const oneshot<http_reply> done(loop);
-    evhttp_request* raw_request =
-        evhttp_request_new(&pending_reply::on_answer, new pending_reply{done});
+    const auto pending = std::make_shared<pending_reply>(pending_reply{done});
+    auto* const argument = new std::shared_ptr<pending_reply>(pending);
+    evhttp_request* raw_request = evhttp_request_new(&pending_reply::on_answer, argument);
     evkeyvalq* headers = evhttp_request_get_output_headers(raw_request);
     evhttp_add_header(headers, "Host", target.to_text().c_str());
     for (const auto& [name, value] : request.headers) {
@@ -65,7 +76,13 @@
         set_socket_options(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
                            request.dead_peer_timeout);
     }
-    co_return co_await done;
+    http_reply reply = co_await done;
+    if (!pending->ended) {
+        // The callback of a cancelled request is not called.
+        evhttp_cancel_request(raw_request);
+        delete argument;
+    }
+    co_return reply;
 }
 
 } // namespace bronzeplank
--- a/src/edge/http_exchange.hpp
+++ b/src/edge/http_exchange.hpp
@@ -37,4 +37,8 @@
 task<http_reply> run_exchange(event_loop& loop, evhttp_connection* connection, endpoint target,
                               http_exchange request, duration timeout);
 
+/// The same with a value that the caller can set to end the wait, which cancels the request.
+task<http_reply> run_exchange(event_loop& loop, evhttp_connection* connection, endpoint target,
+                              http_exchange request, duration timeout, oneshot<http_reply> done);
+
 } // namespace bronzeplank
--- a/test/platform/directory_follower_test.cpp
+++ b/test/platform/directory_follower_test.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+// From the users' rules (StabilityWindowMs, ConfigApplyMs): when a host counts as in touch again
+// after an outage of the store, and when a change must be in force.
+constexpr std::chrono::milliseconds stability_window{4000};
+constexpr std::chrono::milliseconds configuration_apply_time{3000};
+
 std::string instance_spec(const std::string& state) {
     return fmt::format(R"({{"Service":"g","Address":"127.0.0.1:7000","Zone":"a","Slots":2,)"
                        R"("State":"{}","DbRole":"replica","Seq":1}})",
@@ -36,11 +41,10 @@
         store.write("servers", "i", instance_spec("ready"));
     }
 
-    // Runs the loop until the condition holds. The deadline only ends a failing test; it is longer
-    // than a watch that a silent store leaves unanswered.
+    // Runs the loop until the condition holds, or the time is over.
     template <class Condition>
-    bool until(Condition condition) {
-        const time_point deadline = event_loop::now() + std::chrono::seconds(60);
+    bool until(Condition condition, duration time = stability_window + configuration_apply_time) {
+        const time_point deadline = event_loop::now() + time;
         while (!condition() && event_loop::now() < deadline) {
             run_for(milliseconds(2));
         }
@@ -138,6 +142,23 @@
         REQUIRE(test.until_version(2));
         REQUIRE(test.client.reachable());
     }
+    SECTION("what changed meanwhile is known when a host counts as in touch again, not only when "
+            "the watches of the outage time out") {
+        // The followers of all kinds try again and get no answer.
+        test.run_for(milliseconds(1500));
+        test.store.write("config", "main", configuration_spec(2));
+        test.store.write("servers", "i", instance_spec("draining"));
+        test.store.write("evacuations", "b", "{}");
+        test.store.failure = store_stub::failure_mode::none;
+        REQUIRE(test.until(
+            [&] {
+                return test.directory.configuration()->version == 2 &&
+                       test.directory.instance("i")->leaving &&
+                       test.directory.withdrawn_domains().contains("b");
+            },
+            stability_window));
+        REQUIRE(test.client.reachable());
+    }
     SECTION("an instance whose entry has expired is kept if the entry returns within the grace") {
         test.store.remove("servers", "i");
         test.store.failure = store_stub::failure_mode::none;
@@ -162,6 +183,35 @@
     }
 }
 
+TEST_CASE("the store falls silent while all kinds are watched") {
+    follower_fixture test;
+    REQUIRE(test.until_complete());
+    REQUIRE(test.until([&] { return test.directory.hosts().contains("host"); }));
+    test.run_for(milliseconds(200));
+    test.store.failure = store_stub::failure_mode::silent;
+
+    SECTION("another call finds the outage, and its end is found without the watches' timeout") {
+        test.store.forget_watches();
+        const std::string kind = "bronzeplank-claims";
+        const std::string name = "g";
+        spawn([](object_store& client, std::string kind, std::string name) -> task<void> {
+            co_await client.get(kind, name);
+        }(test.client, kind, name));
+        REQUIRE(test.until([&] { return !test.client.reachable(); }));
+        test.store.write("config", "main", configuration_spec(2));
+        test.store.write("servers", "i", instance_spec("draining"));
+        test.store.write("evacuations", "b", "{}");
+        test.store.failure = store_stub::failure_mode::none;
+        REQUIRE(test.until(
+            [&] {
+                return test.directory.configuration()->version == 2 &&
+                       test.directory.instance("i")->leaving &&
+                       test.directory.withdrawn_domains().contains("b");
+            },
+            stability_window));
+    }
+}
+
 TEST_CASE("the registration of a host is not acknowledged") {
     follower_fixture test;
     test.store.failure = store_stub::failure_mode::loses_answers;
--- a/test/platform/store_stub.hpp
+++ b/test/platform/store_stub.hpp
@@ -7,6 +7,7 @@
 #include "bronzeplank/settings.hpp"
 #include "runtime/event_loop.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -37,7 +38,7 @@
     // No other fixture listens on this port. Tests that listen on a port are run one at a time.
     static constexpr std::uint16_t port = 7595;
 
-    explicit store_stub(event_loop& loop) : m_server(evhttp_new(loop.base())) {
+    explicit store_stub(event_loop& loop) : m_loop(loop), m_server(evhttp_new(loop.base())) {
         evhttp_set_gencb(m_server, &store_stub::on_request, this);
         evhttp_bind_socket(m_server, "127.0.0.1", port);
     }
@@ -68,6 +69,9 @@
         }
     }
 
+    /// Leaves the pending watches unanswered for good.
+    void forget_watches() { m_watches.clear(); }
+
     std::uint64_t revision() const { return m_revision; }
 
     failure_mode failure = failure_mode::none;
@@ -96,6 +100,7 @@
         evhttp_request* request = nullptr;
         std::string kind;
         std::uint64_t from = 0;
+        std::uint64_t number = 0;
     };
 
     static std::string object_json(const std::string& name, const object& stored) {
@@ -143,6 +148,35 @@
                fmt::format(R"({{"events":[{}],"AsOf":{}}})", events, m_revision));
     }
 
+    // Answers the watch without events after its wait, unless it has been answered by then.
+    void start_watch(watch started, std::chrono::milliseconds wait) {
+        started.number = ++m_last_watch;
+        evhttp_connection_set_closecb(evhttp_request_get_connection(started.request),
+                                      &store_stub::on_close, this);
+        m_loop.later(wait, [this, number = started.number] { end_wait(number); });
+        answer_watch(started);
+    }
+
+    void end_wait(std::uint64_t number) {
+        const auto found = std::find_if(m_watches.begin(), m_watches.end(),
+                                        [&](const watch& item) { return item.number == number; });
+        if (found == m_watches.end()) {
+            return;
+        }
+        const watch ended = *found;
+        m_watches.erase(found);
+        if (failure == failure_mode::none) {
+            answer(ended.request, 200, fmt::format(R"({{"events":[],"AsOf":{}}})", m_revision));
+        }
+    }
+
+    // libevent frees the request of a connection that its peer has closed.
+    static void on_close(evhttp_connection* connection, void* self) {
+        std::erase_if(static_cast<store_stub*>(self)->m_watches, [&](const watch& item) {
+            return evhttp_request_get_connection(item.request) == connection;
+        });
+    }
+
     void answer_list(evhttp_request* request, const std::string& kind, const std::string& after) {
         std::string items;
         std::size_t count = 0;
@@ -222,14 +256,18 @@
             return std::string(value == nullptr ? "" : value);
         };
         if (const std::string from = field("Watch"); !from.empty()) {
-            answer_watch({request, kind, std::stoull(from)});
+            const std::string wait = field("WaitMs");
+            start_watch({request, kind, std::stoull(from)},
+                        std::chrono::milliseconds(wait.empty() ? 0 : std::stoi(wait)));
         } else {
             answer_list(request, kind, field("after"));
         }
         evhttp_clear_headers(&fields);
     }
 
+    event_loop& m_loop;
     evhttp* m_server;
+    std::uint64_t m_last_watch = 0;
     std::map<std::string, std::map<std::string, object>> m_objects;
     std::vector<change> m_changes;
     std::vector<watch> m_watches;
