A test for a transaction whose SET ROLE fails after its BEGIN

Change: process test role_refused; the instance's stand-in gets the fault switch refused_roles, and the test a way to run a statement at a primary over PostgreSQL's protocol.

--- a/standin/instance.cpp
+++ b/standin/instance.cpp
@@ -343,11 +343,22 @@
         for (const auto& item : sessions) {
             item->resume_after_partition();
         }
+    } else if (name == "refused_roles") {
+        m_refused_roles = std::stoi(value);
     } else {
-        throw statement_error("22023", "unknown fault switch; expected lag_ms, crash_ms or cut");
+        throw statement_error("22023", "unknown fault switch; expected lag_ms, crash_ms, cut or "
+                                       "refused_roles");
     }
 }
 
+bool instance::refuse_role() {
+    if (m_refused_roles == 0) {
+        return false;
+    }
+    --m_refused_roles;
+    return true;
+}
+
 // Simulates the platform's supervisor, which restarts a former primary as a replica. The replica
 // has no primary to follow until it is reconfigured. Without the platform the record can't be read,
 // and the role stays.
--- a/standin/instance.hpp
+++ b/standin/instance.hpp
@@ -74,12 +74,16 @@
 
     /// Sets the primary_conninfo that takes effect at the next reload.
     void set_conninfo(std::string value) { m_pending_conninfo = std::move(value); }
-    /// Sets `lag_ms` (replay delay), `crash_ms` (crash, with this downtime) or `cut` (the failure
-    /// domains to be partitioned from, separated by blanks).
+    /// Sets `lag_ms` (replay delay), `crash_ms` (crash, with this downtime), `cut` (the failure
+    /// domains to be partitioned from, separated by blanks) or `refused_roles` (the number of
+    /// `SET ROLE` statements to refuse).
     void set_fault_switch(const std::string& name, const std::string& value);
     /// Closes all sessions and deletes the data, before the whole log is received again.
     void reset_data();
 
+    /// Whether a `SET ROLE` statement is to be refused; counts it.
+    bool refuse_role();
+
 private:
     friend struct system_functions;
 
@@ -108,6 +112,7 @@
     session* m_calling_session = nullptr;
     int m_slots_used = 0;
     int m_lag_ms;
+    int m_refused_roles = 0;
     std::deque<std::function<void()>> m_release_callbacks;
     std::vector<std::shared_ptr<session>> m_sessions;
     std::unique_ptr<replication_connection> m_replication;
--- a/standin/session.cpp
+++ b/standin/session.cpp
@@ -352,6 +352,9 @@
         }
         m_owner.set_conninfo(m_running_text.substr(open + 1, end - open - 1));
         result.tag = "ALTER SYSTEM";
+    } else if (m_running_text.starts_with("SET ROLE") && m_owner.refuse_role()) {
+        fail_statement("42501", "permission denied to set role");
+        return;
     }
     send_result(result);
 }
--- a/test/process/process_test.py
+++ b/test/process/process_test.py
@@ -10,6 +10,8 @@
 import json
 import os
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -70,6 +72,24 @@
     def set_platform_faults(self, **switches):
         request(PORT_BASE, "POST", "/control", json.dumps(switches))
 
+    def run_at_primary(self, group, text):
+        """Runs a statement at the group's primary, over the protocol of PostgreSQL."""
+        number, instance = self.primary_of(group).split("-")[-2:]
+        port = PORT_BASE + 110 + (int(number) - 1) * 3 + int(instance) - 1
+        startup = (struct.pack("!i", 3 << 16) + b"user\0bronzeplank\0database\0dispatch\0"
+                   b"application_name\0standin-control\0\0")
+        statement = text.encode() + b"\0"
+        with socket.create_connection(("127.0.0.1", port), WAIT_TIMEOUT_SECONDS) as connection:
+            for message in (struct.pack("!i", len(startup) + 4) + startup,
+                            b"Q" + struct.pack("!i", len(statement) + 4) + statement):
+                connection.sendall(message)
+                answer = b""
+                while answer[-6:-1] != b"Z\0\0\0\5":
+                    received = connection.recv(4096)
+                    expect("the instance answers", True, received != b"")
+                    answer += received
+            expect("the instance refuses nothing", False, b"SERROR" in answer)
+
     def overwrite_object(self, kind, name, value):
         """Replaces an object on the platform, whatever its version."""
         path = f"/v1/objects/{kind}/{name}"
@@ -333,9 +353,27 @@
         expect("the primary of another group", primary, deployment.status(1)["groups"][0]["primary"])
 
 
+def role_refused(seed):
+    """A transaction whose SET ROLE fails does not give its connection back inside it."""
+    with Deployment(hosts=1) as deployment:
+        wait_until("the host answers queries", lambda: deployment.query(1, "SELECT 1")[0] == 200)
+        wait_until("a primary is known", lambda: deployment.primary_of("dispatch-1"))
+        deployment.run_at_primary("dispatch-1", "CREATE TABLE tried (id text)")
+        body = json.dumps({"database": "dispatch-1"})
+        headers = {"Authorization": "Bearer key-of-desk"}
+        for _ in range(5):
+            deployment.run_at_primary("dispatch-1", "SELECT standin_control('refused_roles', '1')")
+            status, text = request(PORT_BASE + 201, "POST", "/v1/transactions", body, headers)
+            expect("status and outcome of a transaction without its role", (503, "not_run"),
+                   (status, json.loads(text)["error"]["outcome"]))
+            # Only the primary runs a write, so the next one takes the connection.
+            status, text = deployment.query(1, "INSERT INTO tried VALUES ('a')")
+            expect(f"status of the next caller's write, answered by {text}", 200, status)
+
+
 TESTS = {function.__name__: function for function in (
     host_killed, orderer_frozen, primary_frozen, key_withdrawn, operators_race, planned_stop,
-    fresh_host_in_an_outage, bad_requests, malformed_objects)}
+    fresh_host_in_an_outage, bad_requests, malformed_objects, role_refused)}
 
 
 def main():
