load: a lag ends after for_ms, and withdraw_key takes the key of the scenario

Cause: lag_replicas ignored for_ms; withdraw_key took key-of-TARGET whatever key the workspace uses; a lag of a group that the configuration lacks dereferenced a null pointer (read, not run). Change: the lag is set back to the stand-in's own after for_ms (a shorter lag is in force for pending log entries, too); a fault carries the key of its workspace; a group or workspace as a target must be in the scenario.

--- a/src/load/deployment.cpp
+++ b/src/load/deployment.cpp
@@ -129,6 +129,16 @@
     co_await run_statement(group, upstream, statement);
 }
 
+task<void> deployment::set_replica_lag(std::string group, std::string lag_ms) {
+    const database_group* configured_group = m_configuration.find_group(group);
+    if (configured_group == nullptr) {
+        co_return;
+    }
+    for (const auto& item : configured_group->upstreams) {
+        co_await set_upstream_control(group, item.name, "lag_ms", lag_ms);
+    }
+}
+
 task<void> deployment::set_platform_control(std::string body) {
     http_client client(m_loop, m_platform_address);
     co_await client.post("/control", {}, std::move(body), statement_timeout);
@@ -201,14 +211,13 @@
         co_await set_upstream_control(injected.target, primary, "crash_ms", active_time_ms);
         break;
     }
-    case fault_kind::lag_replicas: {
-        const database_group* group = m_configuration.find_group(injected.target);
-        for (const auto& item : group->upstreams) {
-            co_await set_upstream_control(injected.target, item.name, "lag_ms",
-                                          std::to_string(to_milliseconds(injected.delay)));
+    case fault_kind::lag_replicas:
+        co_await set_replica_lag(injected.target, std::to_string(to_milliseconds(injected.delay)));
+        if (injected.active_time > duration::zero()) {
+            co_await sleep_for(m_loop, injected.active_time);
+            co_await set_replica_lag(injected.target, "default");
         }
         break;
-    }
     case fault_kind::cut_domain:
         co_await set_partition(injected.target, true);
         co_await sleep_for(m_loop, injected.active_time);
@@ -237,7 +246,7 @@
         co_await set_domain_state(injected.target, service_state::active);
         break;
     case fault_kind::withdraw_key:
-        co_await withdraw_key("key-of-" + injected.target);
+        co_await withdraw_key(injected.key);
         break;
     }
 }
--- a/src/load/deployment.hpp
+++ b/src/load/deployment.hpp
@@ -43,6 +43,7 @@
     task<bool> run_statement(std::string group, std::string upstream, std::string statement);
     task<void> set_upstream_control(std::string group, std::string upstream, std::string name,
                                     std::string value);
+    task<void> set_replica_lag(std::string group, std::string lag_ms);
     task<void> set_platform_control(std::string body);
     task<void> set_partition(std::string domain, bool partitioned);
     task<void> set_domain_state(std::string domain, service_state state);
--- a/src/load/scenario.cpp
+++ b/src/load/scenario.cpp
@@ -1,7 +1,10 @@
 #include "load/scenario.hpp"
 
+#include "bronzeplank/error.hpp"
 #include "bronzeplank/internal/json_reader.hpp"
 
+#include <algorithm>
+
 namespace bronzeplank::load {
 
 namespace {
@@ -37,7 +40,24 @@
     return result;
 }
 
-fault read_fault(const json_node& node) {
+// A fault of a group or a key needs a target that the scenario names.
+void check_target(const json_node& node, fault& read, const scenario& definition) {
+    const std::string path = node.path() + "/target";
+    if (read.kind == fault_kind::crash_primary || read.kind == fault_kind::lag_replicas) {
+        if (std::ranges::find(definition.groups, read.target) == definition.groups.end()) {
+            throw input_error(path, "a group of the scenario", read.target);
+        }
+    } else if (read.kind == fault_kind::withdraw_key) {
+        const auto workspace =
+            std::ranges::find(definition.workspaces, read.target, &workspace_load::name);
+        if (workspace == definition.workspaces.end()) {
+            throw input_error(path, "a workspace of the scenario", read.target);
+        }
+        read.key = workspace->key;
+    }
+}
+
+fault read_fault(const json_node& node, const scenario& definition) {
     auto object = node.object();
     fault result;
     result.start_offset =
@@ -47,6 +67,7 @@
     result.active_time = std::chrono::milliseconds(object.integer_or("for_ms", 0, 0, max_time_ms));
     result.delay = std::chrono::milliseconds(object.integer_or("amount_ms", 0, 0, max_time_ms));
     object.finish();
+    check_target(node, result, definition);
     return result;
 }
 
@@ -72,7 +93,7 @@
     }
     if (const auto faults = object.optional("faults")) {
         for (const auto& node : faults->array()) {
-            result.faults.push_back(read_fault(node));
+            result.faults.push_back(read_fault(node, result));
         }
     }
     object.finish();
--- a/src/load/scenario.hpp
+++ b/src/load/scenario.hpp
@@ -50,7 +50,10 @@
     duration start_offset{};
     fault_kind kind = fault_kind::platform_down;
     std::string target;
-    /// How long the fault lasts, for the kinds that end by themselves.
+    /// The key that `withdraw_key` withdraws: that of the target workspace.
+    std::string key;
+    /// How long the fault lasts, for the kinds that end by themselves. A lag whose time is 0 lasts
+    /// beyond the end of the run.
     duration active_time{};
     /// The replication lag or the platform's delay, for the kinds that have one.
     duration delay{};
--- a/standin/instance.cpp
+++ b/standin/instance.cpp
@@ -330,7 +330,13 @@
 
 void instance::set_fault_switch(const std::string& name, const std::string& value) {
     if (name == "lag_ms") {
-        m_lag_ms = std::stoi(value);
+        const int earlier_lag_ms =
+            std::exchange(m_lag_ms, value == "default" ? m_options.lag_ms : std::stoi(value));
+        // Pending entries wait no longer than a shorter lag.
+        const bool is_shorter = !m_primary && m_lag_ms < earlier_lag_ms;
+        for (std::size_t i = 0; is_shorter && i < m_database.pending_entries(); ++i) {
+            schedule_apply();
+        }
     } else if (name == "crash_ms") {
         m_loop.post([this, value] { crash(std::chrono::milliseconds(std::stoi(value))); });
     } else if (name == "cut") {
--- a/standin/instance.hpp
+++ b/standin/instance.hpp
@@ -74,9 +74,9 @@
 
     /// Sets the primary_conninfo that takes effect at the next reload.
     void set_conninfo(std::string value) { m_pending_conninfo = std::move(value); }
-    /// Sets `lag_ms` (replay delay), `crash_ms` (crash, with this downtime), `cut` (the failure
-    /// domains to be partitioned from, separated by blanks) or `refused_roles` (the number of
-    /// `SET ROLE` statements to refuse).
+    /// Sets `lag_ms` (replay delay; `default` for that of the start), `crash_ms` (crash, with this
+    /// downtime), `cut` (the failure domains to be partitioned from, separated by blanks) or
+    /// `refused_roles` (the number of `SET ROLE` statements to refuse).
     void set_fault_switch(const std::string& name, const std::string& value);
     /// Closes all sessions and deletes the data, before the whole log is received again.
     void reset_data();
--- a/test/process/process_test.py
+++ b/test/process/process_test.py
@@ -106,11 +106,12 @@
                     if entry["name"] == group)
 
     def start_load(self, scenario, seed):
+        """Starts the load tool with a file of examples/scenarios, or with an absolute path."""
         command = [PROGRAM, "load", "--json", "--seed", str(seed), "--platform",
                    f"127.0.0.1:{PORT_BASE}"]
         for number in range(1, self.hosts + 1):
             command += ["--host", f"127.0.0.1:{PORT_BASE + 200 + number}"]
-        command.append(os.path.join(ROOT, "examples", "scenarios", scenario + ".jsonc"))
+        command.append(os.path.join(ROOT, "examples", "scenarios", scenario))
         self.loads.append(
             subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL))
         return self.loads[-1]
@@ -156,13 +157,13 @@
 def scenario(name, seed):
     with Deployment(
             configuration=name.startswith("head") and "head_office" or "cooperative") as deployment:
-        expect_load_checks_passed(deployment.start_load(name, seed))
+        expect_load_checks_passed(deployment.start_load(name + ".jsonc", seed))
 
 
 def host_killed(seed):
     """A host is killed under load and started again."""
     with Deployment() as deployment:
-        load = deployment.start_load("cooperative_failover", seed)
+        load = deployment.start_load("cooperative_failover.jsonc", seed)
         time.sleep(7)
         deployment.signal("host-2", signal.SIGKILL)
         time.sleep(3)
@@ -176,7 +177,7 @@
     They resume 4 s later, when other hosts may have taken over.
     """
     with Deployment() as deployment:
-        load = deployment.start_load("cooperative_failover", seed)
+        load = deployment.start_load("cooperative_failover.jsonc", seed)
         time.sleep(10.2)
         for name in ("host-1", "host-2"):
             deployment.signal(name, signal.SIGSTOP)
@@ -190,7 +191,7 @@
 def primary_frozen(seed):
     """A primary is stopped until it has been replaced; it resumes with writes not acknowledged."""
     with Deployment() as deployment:
-        load = deployment.start_load("cooperative_quiet", seed)
+        load = deployment.start_load("cooperative_quiet.jsonc", seed)
         time.sleep(6)
         wait_until("a primary is known", lambda: deployment.status(1)["groups"][0]["primary"])
         primary = deployment.status(1)["groups"][0]["primary"]
@@ -371,9 +372,40 @@
             expect(f"status of the next caller's write, answered by {text}", 200, status)
 
 
+def load_faults(seed):
+    """The load tool ends a lag after its time, and withdraws the key of its scenario."""
+    definition = {
+        "name": "load-faults", "length_ms": 3000, "seed": seed, "groups": ["dispatch-1"],
+        "workspaces": [
+            {"name": "desk", "key": "another-key", "rate": 20, "mix": {"booking": 1}},
+            {"name": "portal", "rate": 20, "mix": {"booking": 1}}],
+        "faults": [
+            {"at_ms": 500, "kind": "lag_replicas", "target": "dispatch-1", "amount_ms": 60000,
+             "for_ms": 500},
+            {"at_ms": 2000, "kind": "withdraw_key", "target": "desk"}]}
+    with Deployment(hosts=1) as deployment:
+        wait_until("the host answers queries", lambda: deployment.query(1, "SELECT 1")[0] == 200)
+        subprocess.run([PROGRAM, "key", "give", "--platform", f"127.0.0.1:{PORT_BASE}",
+                        "--workspace", "desk", "--key", "another-key"], check=True,
+                       stdout=subprocess.DEVNULL)
+        path = os.path.join(deployment.dir, "load-faults.jsonc")
+        with open(path, "w") as file:
+            json.dump(definition, file)
+        result = deployment.start_load(path, seed).communicate(timeout=60)[0]
+        expect("most writes were acknowledged", True, json.loads(result)["acknowledged"] > 40)
+        wait_until("the scenario's key is refused",
+                   lambda: deployment.query(1, "SELECT 1", key="another-key")[0] == 401)
+        expect("status with the workspace's other key", 200, deployment.query(1, "SELECT 1")[0])
+        fresh = {"Bronzeplank-Max-Staleness-Ms": "1000"}
+        wait_until("replicas serve fresh reads",
+                   lambda: '"served_by":"replica"' in
+                   deployment.query(1, "SELECT id FROM booking LIMIT 1", headers=fresh)[1])
+
+
 TESTS = {function.__name__: function for function in (
     host_killed, orderer_frozen, primary_frozen, key_withdrawn, operators_race, planned_stop,
-    fresh_host_in_an_outage, bad_requests, malformed_objects, role_refused)}
+    fresh_host_in_an_outage, bad_requests, malformed_objects, role_refused,
+    load_faults)}
 
 
 def main():
