Fuzzing of peers' messages as a session host handles them, and of replication reports

Cause: decoder_fuzz_test left out read_report(), and what a host does with a heartbeat, a position or an answer whose call is unknown (fleet::handle) was fuzzed by nothing.

--- a/test/platform/decoder_fuzz_test.cpp
+++ b/test/platform/decoder_fuzz_test.cpp
@@ -6,6 +6,7 @@
 #include "bronzeplank/session_token.hpp"
 #include "bronzeplank/settings.hpp"
 #include "bronzeplank/share_ledger.hpp"
+#include "model/mutator.hpp"
 #include "model/run_size.hpp"
 #include "model/valid_settings.hpp"
 #include "peer.pb.h"
@@ -18,7 +19,6 @@
 #include <fstream>
 #include <functional>
 #include <iterator>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -26,56 +26,6 @@
 
 namespace {
 
-/// Changes a valid input at random: bytes, numbers, pieces that are cut, doubled or swapped.
-class mutator {
-public:
-    explicit mutator(std::uint64_t seed) : m_random(seed) {}
-
-    std::string mutate(std::string text) {
-        const int changes = 1 + pick(4);
-        for (int i = 0; i < changes; ++i) {
-            change(text);
-        }
-        return text;
-    }
-
-private:
-    int pick(int count) { return std::uniform_int_distribution<int>(0, count - 1)(m_random); }
-
-    void change(std::string& text) {
-        static const std::vector<std::string> pieces{
-            "null",     "-1",     "1e400", "18446744073709551616",
-            "[]",       "{}",     "\"\"",  "\"\\u0000\"",
-            "[[[[",     "true",   " ",     "\r\n",
-            "\xff\xfe", "0.5",    ":",     ",",
-            "}",        "{\"a\":"};
-        const auto size = static_cast<int>(text.size());
-        const auto at = static_cast<std::size_t>(pick(size + 1));
-        const auto length = static_cast<std::size_t>(pick(12));
-        switch (pick(5)) {
-        case 0:
-            if (size > 0) {
-                text[at % text.size()] = static_cast<char>(pick(256));
-            }
-            break;
-        case 1:
-            text.erase(at, length);
-            break;
-        case 2:
-            text.insert(at, text.substr(at, length));
-            break;
-        case 3:
-            text.replace(at, length,
-                         pieces[static_cast<std::size_t>(pick(static_cast<int>(pieces.size())))]);
-            break;
-        default:
-            text.resize(at);
-        }
-    }
-
-    std::mt19937_64 m_random;
-};
-
 std::string file_text(const std::string& path) {
     std::ifstream file(std::string(BRONZEPLANK_SOURCE_DIRECTORY) + "/" + path);
     REQUIRE(file);
@@ -84,7 +34,7 @@
 
 // Every input is decoded, or refused with an error that the program handles.
 void fuzz(const std::string& valid, const std::function<void(const std::string&)>& decode) {
-    mutator mutations(model::first_seed());
+    model::mutator mutations(model::first_seed());
     decode(valid);
     for (std::uint64_t i = 0; i < model::walk_count(); ++i) {
         const std::string input = mutations.mutate(valid);
@@ -171,7 +121,7 @@
         fuzz(encode(token, "desk", secret),
              [&](const auto& text) { decode(text, "desk", secret); });
     }
-    SECTION("a statement, its answer, a command and a directory from another host") {
+    SECTION("a statement, a command, their answers and a directory from another host") {
         wire::upstream_work work;
         work.set_kind(4);
         work.set_text("WRITE 1a4 x");
@@ -188,6 +138,11 @@
         command.set_instance("i-1");
         fuzz(command.SerializeAsString(),
              parsed<wire::replication_request>([](const auto& message) { read_command(message); }));
+        wire::replication_report report;
+        report.set_answered(true);
+        report.set_term(4);
+        fuzz(report.SerializeAsString(),
+             parsed<wire::replication_report>([](const auto& message) { read_report(message); }));
         wire::directory_snapshot directory;
         directory.set_configuration("{}");
         directory.add_instances()->set_port(80);
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -1,5 +1,7 @@
 #include "session/fleet.hpp"
 
+#include "model/mutator.hpp"
+#include "model/run_size.hpp"
 #include "peer.pb.h"
 
 #include <algorithm>
@@ -64,6 +66,15 @@
             directory, callbacks);
         peers->start();
     }
+
+    void discard_received() {
+        works.clear();
+        answers.clear();
+        ended_transactions.clear();
+        commands.clear();
+        accepted_directories.clear();
+        recorded_primaries.clear();
+    }
 };
 
 template <class Condition>
@@ -252,6 +263,41 @@
     }
 };
 
+std::vector<wire::envelope> one_of_each_payload() {
+    std::vector<wire::envelope> payloads(11);
+    auto* heartbeat = payloads[0].mutable_fleet();
+    heartbeat->set_whole(true);
+    heartbeat->set_failure_domain("b");
+    heartbeat->set_period_ms(200);
+    heartbeat->add_lanes()->set_instance("i");
+    heartbeat->mutable_lanes(0)->set_wait_us(7000);
+    heartbeat->add_primaries()->set_group("g");
+    heartbeat->mutable_primaries(0)->set_term(3);
+    heartbeat->add_demands()->set_workspace("desk");
+    heartbeat->mutable_demands(0)->set_per_second(12.5F);
+    heartbeat->add_acknowledged()->set_group("g");
+    heartbeat->mutable_acknowledged(0)->set_offset(9);
+    auto* work = payloads[1].mutable_work();
+    work->set_instance("i");
+    work->set_kind(4);
+    work->set_text("WRITE 1a4 x");
+    work->set_time_left_us(800'000);
+    payloads[2].mutable_work_answer()->set_id(5);
+    payloads[2].mutable_work_answer()->add_rows("row");
+    payloads[3].mutable_end()->set_transaction(5);
+    payloads[4].mutable_replication()->set_instance("i");
+    payloads[4].mutable_replication()->set_order(2);
+    payloads[5].mutable_replication_answer()->set_term(4);
+    payloads[6].mutable_sample()->set_group("g");
+    payloads[7].mutable_sample_answer()->set_verified(true);
+    payloads[8].mutable_directory();
+    auto* directory = payloads[9].mutable_directory_answer();
+    directory->set_configuration("{}");
+    directory->add_instances()->set_port(80);
+    payloads[10].mutable_beat_asked();
+    return payloads;
+}
+
 } // namespace
 
 TEST_CASE("a host whose peer's messages are delayed") {
@@ -454,6 +500,46 @@
         }));
         REQUIRE(host.works.empty());
     }
+    SECTION("goes on after any change of the bytes of a payload") {
+        model::mutator mutations(model::first_seed());
+        // Fewer than the bus queues.
+        constexpr std::uint64_t batch = 200;
+        const auto handle_batch = [&] {
+            int rounds = 0;
+            run_until(loop, [&] { return ++rounds > 1; });
+            host.discard_received();
+            peer.received.clear();
+        };
+        for (const wire::envelope& valid : one_of_each_payload()) {
+            const std::string bytes = valid.SerializeAsString();
+            std::uint64_t sent_count = 0;
+            for (std::uint64_t i = 0; i < model::walk_count(); ++i) {
+                wire::envelope message;
+                // The bus refuses what can't be parsed.
+                while (!message.ParseFromString(mutations.mutate(bytes))) {
+                }
+                // Other addresses would be connected to.
+                if (message.has_fleet()) {
+                    message.mutable_fleet()->set_peer_address("127.0.0.1:" +
+                                                              std::to_string(scripted_port));
+                }
+                advance_clock();
+                const bool sent = peer.send(message);
+                if (!sent || i % batch == 0) {
+                    handle_batch();
+                }
+                sent_count += sent ? 1 : 0;
+            }
+            CAPTURE(valid.ShortDebugString(), sent_count);
+            REQUIRE(sent_count > model::walk_count() / 2);
+            REQUIRE(run_until(loop, [&] {
+                advance_clock();
+                peer.send_heartbeat();
+                return host.peers->find_live("scripted") != nullptr;
+            }));
+            REQUIRE(still_answers());
+        }
+    }
     SECTION("ignores a directory that can't be read") {
         wire::envelope message;
         message.mutable_directory_answer()->set_configuration("{");
