--- a/standin/instance.cpp
+++ b/standin/instance.cpp
@@ -330,7 +330,13 @@
 
 void instance::set_fault_switch(const std::string& name, const std::string& value) {
     if (name == "lag_ms") {
-        m_lag_ms = std::stoi(value);
+        const int earlier_lag_ms =
+            std::exchange(m_lag_ms, value == "default" ? m_options.lag_ms : std::stoi(value));
+        // Pending entries wait no longer than a shorter lag.
+        const bool is_shorter = !m_primary && m_lag_ms < earlier_lag_ms;
+        for (std::size_t i = 0; is_shorter && i < m_database.pending_entries(); ++i) {
+            schedule_apply();
+        }
     } else if (name == "crash_ms") {
         m_loop.post([this, value] { crash(std::chrono::milliseconds(std::stoi(value))); });
     } else if (name == "cut") {
@@ -343,11 +349,22 @@
         for (const auto& item : sessions) {
             item->resume_after_partition();
         }
+    } else if (name == "refused_roles") {
+        m_refused_roles = std::stoi(value);
     } else {
-        throw statement_error("22023", "unknown fault switch; expected lag_ms, crash_ms or cut");
+        throw statement_error("22023", "unknown fault switch; expected lag_ms, crash_ms, cut or "
+                                       "refused_roles");
     }
 }
 
+bool instance::refuse_role() {
+    if (m_refused_roles == 0) {
+        return false;
+    }
+    --m_refused_roles;
+    return true;
+}
+
 // Simulates the platform's supervisor, which restarts a former primary as a replica. The replica
 // has no primary to follow until it is reconfigured. Without the platform the record can't be read,
 // and the role stays.
