A host that was cut off brings back what it hasn't spent, not a debt for its own part

During the cut each side refills only its own part of the bucket. At the first exchange after it, each side took the whole count that the other had admitted meanwhile from its tokens, and fell to a debt of up to the burst. A cut also left all tokens to both sides.

Change: demand_share gets the reports by host. A host that becomes unreachable takes its part of the tokens with it; when it is back, it brings what is left of them and of their refill. The counting moves from session_service into the core, so that the model tests it.

--- a/include/bronzeplank/demand_share.hpp
+++ b/include/bronzeplank/demand_share.hpp
@@ -6,19 +6,20 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace bronzeplank {
 
-/// What the other hosts have reported about one workspace.
+/// What another reachable host has reported about one workspace.
 struct peer_usage {
-    /// Operations a second at the other reachable hosts, admitted or refused.
+    std::string host;
+    /// Operations a second, admitted or refused.
     double demand = 0;
-    /// Operations that they have admitted since the previous exchange.
-    double admitted = 0;
-    /// The number of reachable hosts, including this one.
-    std::size_t reachable_hosts = 1;
-    /// The number of all hosts that may be spending a share of the rate.
-    std::size_t presumed_hosts = 1;
+    /// Operations that the host has admitted since it started; nothing without a report of it.
+    std::optional<std::uint64_t> admitted;
     bool operator==(const peer_usage&) const = default;
 };
 
@@ -28,17 +29,19 @@
 /// token that one host doesn't use serves another. While the bucket is far from empty, a host
 /// admits without regard to its share: what the others admit before they report it does not exhaust
 /// it. Hosts that can't be reached may still be spending tokens, so the reachable hosts divide only
-/// what remains for their part of all hosts.
+/// what remains for their part of all hosts. A host that becomes unreachable takes its part of the
+/// tokens with it, and brings back what it hasn't spent of them.
 ///
 /// It answers a steady or sudden overload of one workspace, spread over hosts that exchange reports
 /// less often than operations arrive.
 ///
-/// Usage: `share.exchange(now, peers)` once per report interval;
+/// Usage: `share.exchange(now, peers, presumed_hosts)` once per report interval;
 /// `if (share.admit(now, rate, burst)) ...`
 class demand_share {
 public:
-    /// Takes the other hosts' reports into account and divides the tokens anew.
-    void exchange(time_point now, const peer_usage& peers);
+    /// Takes the other reachable hosts' reports into account and divides the tokens anew.
+    /// \param presumed_hosts the number of all hosts that may be spending a share of the rate
+    void exchange(time_point now, const std::vector<peer_usage>& peers, std::size_t presumed_hosts);
 
     /// Records one operation of demand and takes a token for it; false when there is none left.
     bool admit(time_point now, double rate_per_second, double burst);
@@ -53,10 +56,27 @@
     double current_share(time_point now) const;
 
 private:
+    /// What is known of another host that has been reachable.
+    struct known_peer {
+        /// Its count of admitted operations that has been taken into account.
+        std::optional<std::uint64_t> counted;
+        bool reachable = true;
+        /// While it is unreachable: its part of the tokens, and when it left with them.
+        double tokens = 0;
+        time_point unreachable_since{};
+    };
+
+    double host_part() const;
     double reachable_part() const;
     double tokens_of_all(time_point now) const;
+    void remove_unreachable(time_point now, const std::vector<peer_usage>& peers);
+    double tokens_brought_by(time_point now, const peer_usage& peer);
 
-    peer_usage m_peers;
+    std::size_t m_reachable_hosts = 1;
+    std::size_t m_presumed_hosts = 1;
+    /// The other reachable hosts' demand.
+    double m_peer_demand = 0;
+    std::map<std::string, known_peer> m_peers;
     double m_demand = 0;
     time_point m_demand_updated_at{};
     double m_demand_at_exchange = 0;
--- a/src/core/demand_share.cpp
+++ b/src/core/demand_share.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace bronzeplank {
 
@@ -20,6 +21,8 @@
 // factor, and in operations a second on a host without demand before.
 constexpr double max_demand_rise = 1.5;
 constexpr double new_demand = 0.5;
+// A host that has been unreachable for this long counts as a new one.
+constexpr std::chrono::minutes peer_retention{1};
 
 double seconds_between(time_point from, time_point to) {
     return std::max(0.0, std::chrono::duration<double>(to - from).count());
@@ -27,9 +30,12 @@
 
 } // namespace
 
+double demand_share::host_part() const {
+    return 1.0 / static_cast<double>(m_presumed_hosts);
+}
+
 double demand_share::reachable_part() const {
-    const auto reachable = static_cast<double>(std::max<std::size_t>(1, m_peers.reachable_hosts));
-    return reachable / std::max(reachable, static_cast<double>(m_peers.presumed_hosts));
+    return static_cast<double>(m_reachable_hosts) * host_part();
 }
 
 double demand_share::tokens_of_all(time_point now) const {
@@ -38,18 +44,67 @@
     return std::min(m_burst * reachable_part(), m_tokens + refilled);
 }
 
-void demand_share::exchange(time_point now, const peer_usage& peers) {
-    if (m_rate_per_second > 0) {
-        const double tokens = tokens_of_all(now);
-        m_carried_over =
-            std::clamp(current_share(now) * tokens + m_carried_over - m_admitted_since_exchange,
-                       0.0, max_carried_over);
-        m_tokens = std::max(tokens - m_admitted_since_exchange - peers.admitted, -m_burst);
+void demand_share::remove_unreachable(time_point now, const std::vector<peer_usage>& peers) {
+    const double tokens_of_a_host = m_tokens / static_cast<double>(m_reachable_hosts);
+    std::erase_if(m_peers, [now](const auto& entry) {
+        return !entry.second.reachable && now - entry.second.unreachable_since > peer_retention;
+    });
+    for (auto& [host, peer] : m_peers) {
+        const bool remains = std::ranges::find(peers, host, &peer_usage::host) != peers.end();
+        if (peer.reachable && !remains) {
+            peer.reachable = false;
+            peer.unreachable_since = now;
+            peer.tokens = tokens_of_a_host;
+            m_tokens -= tokens_of_a_host;
+        }
+    }
+}
+
+// Negative for what the peer has spent. A host that was unreachable has spent its own part of the
+// refill meanwhile, not that of the hosts here.
+double demand_share::tokens_brought_by(time_point now, const peer_usage& peer) {
+    const auto [entry, is_new] = m_peers.try_emplace(peer.host);
+    known_peer& known = entry->second;
+    const bool was_reachable = std::exchange(known.reachable, true);
+    // What a host had admitted before this host heard of it is not counted. A host that has started
+    // again counts from zero.
+    const std::uint64_t admitted = peer.admitted.value_or(known.counted.value_or(0));
+    const std::uint64_t counted = known.counted.value_or(admitted);
+    const auto spent = static_cast<double>(admitted >= counted ? admitted - counted : admitted);
+    if (peer.admitted) {
+        known.counted = peer.admitted;
+    }
+    if (is_new) {
+        return 0;
+    }
+    if (was_reachable) {
+        return -spent;
+    }
+    const double part = host_part();
+    const double refilled =
+        m_rate_per_second * part * seconds_between(known.unreachable_since, now);
+    return std::clamp(known.tokens + refilled - spent, 0.0, m_burst * part);
+}
+
+void demand_share::exchange(time_point now, const std::vector<peer_usage>& peers,
+                            std::size_t presumed_hosts) {
+    const double tokens = tokens_of_all(now);
+    m_carried_over =
+        std::clamp(current_share(now) * tokens + m_carried_over - m_admitted_since_exchange, 0.0,
+                   max_carried_over);
+    m_tokens = tokens - m_admitted_since_exchange;
+    remove_unreachable(now, peers);
+    m_reachable_hosts = peers.size() + 1;
+    m_presumed_hosts = std::max(m_reachable_hosts, presumed_hosts);
+    m_peer_demand = 0;
+    for (const peer_usage& peer : peers) {
+        m_tokens += tokens_brought_by(now, peer);
+        m_peer_demand += peer.demand;
     }
+    m_tokens = std::max(m_tokens, -m_burst);
     m_exchanged_at = now;
     m_demand_at_exchange = demand(now);
     m_admitted_since_exchange = 0;
-    m_peers = peers;
 }
 
 double demand_share::demand(time_point now) const {
@@ -60,8 +115,8 @@
     // The other hosts' demand is as old as the exchange. A sudden rise that all hosts see must not
     // let each of them take it for its own.
     const double own = std::min(demand(now), max_demand_rise * m_demand_at_exchange + new_demand);
-    const double total = own + m_peers.demand;
-    const auto hosts = static_cast<double>(std::max<std::size_t>(1, m_peers.reachable_hosts));
+    const double total = own + m_peer_demand;
+    const auto hosts = static_cast<double>(m_reachable_hosts);
     // Below one operation a second there is no demand to follow: the shares are equal.
     const double demand_fraction = total < 1.0 ? 1.0 / hosts : own / total;
     return even_fraction / hosts + (1.0 - even_fraction) * demand_fraction;
@@ -78,8 +133,8 @@
     m_burst = burst;
     const double tokens = std::max(0.0, tokens_of_all(now));
     const double since_exchange = seconds_between(m_exchanged_at, now);
-    const double left_by_all = tokens - m_admitted_since_exchange - m_peers.demand * since_exchange;
-    const double total_demand = demand(now) + m_peers.demand;
+    const double left_by_all = tokens - m_admitted_since_exchange - m_peer_demand * since_exchange;
+    const double total_demand = demand(now) + m_peer_demand;
     const bool far_from_empty = left_by_all >= 1.0 + total_demand * reserve_seconds;
     const double own_part = current_share(now) * tokens + m_carried_over;
     if (!far_from_empty && m_admitted_since_exchange + 1.0 > own_part) {
--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -106,25 +106,15 @@
     const auto peers = m_fleet.live_peers(now);
     const std::size_t presumed_hosts = m_fleet.presumed_host_count(now);
     for (auto& [workspace, share] : m_shares) {
-        peer_usage reported;
-        reported.reachable_hosts = peers.size() + 1;
-        reported.presumed_hosts = presumed_hosts;
-        auto& counted = m_counted[workspace];
+        std::vector<peer_usage> reported;
         for (const fleet_peer* peer : peers) {
             const auto used = peer->usage.find(workspace);
-            if (used == peer->usage.end()) {
-                continue;
-            }
-            reported.demand += used->second.demand;
-            // What a host had admitted before this host heard of it is not counted. A host that has
-            // started again counts from zero.
-            const std::uint64_t admitted = used->second.admitted;
-            std::uint64_t& before = counted.try_emplace(peer->host, admitted).first->second;
-            reported.admitted +=
-                static_cast<double>(admitted >= before ? admitted - before : admitted);
-            before = admitted;
+            reported.push_back(
+                used == peer->usage.end()
+                    ? peer_usage{peer->host, 0, std::nullopt}
+                    : peer_usage{peer->host, used->second.demand, used->second.admitted});
         }
-        share.exchange(now, reported);
+        share.exchange(now, reported, presumed_hosts);
     }
 }
 
--- a/src/session/session_service.hpp
+++ b/src/session/session_service.hpp
@@ -115,8 +115,6 @@
     withdrawal_bounds m_bounds;
     std::map<std::string, group_state> m_groups;
     std::map<std::string, demand_share> m_shares;
-    /// By workspace and host: the admitted operations that were taken into account.
-    std::map<std::string, std::map<std::string, std::uint64_t>> m_counted;
     time_point m_usage_exchanged_at{};
     /// Operations refused by the rate limit since the last log line, by workspace.
     std::map<std::string, int> m_rate_limited;
