Hosts count in the division of a rate once they have reported their use since a cut

Cause: after a cut heals, the first message of a peer makes it reachable, but what it has used comes with its next full heartbeat, up to 0.6 s later. Until then its report from before the cut stood for a new one: the exchange took the peer back with nothing spent, and the next one charged all that it had admitted during the cut.

Change: fleet_peer::usage_reported is cleared by the first contact after a time without; session_service leaves out peers that have not reported since. fleet_test has the case.

--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -206,8 +206,7 @@
     if (const auto peer = m_peers.find(message.from());
         peer != m_peers.end() && peer->second.incarnation == message.incarnation() &&
         *delay < max_heartbeat_delay) {
-        peer->second.last_received = event_loop::now();
-        peer->second.response_overdue = false;
+        peer->second.record_contact(event_loop::now());
     }
     try {
         handle(message, *delay);
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -64,10 +64,18 @@
     std::map<std::string, pool_status, std::less<>> pools;
     /// By workspace.
     std::map<std::string, workspace_usage, std::less<>> usage;
+    /// Whether the usage was reported since the peer became reachable.
+    bool usage_reported = false;
     /// The newest commit that the peer has acknowledged to a caller, by group.
     std::map<std::string, log_position, std::less<>> acknowledged;
 
     bool alive(time_point now) const { return !response_overdue && now - last_received < timeout; }
+
+    void record_contact(time_point now) {
+        usage_reported = usage_reported && alive(now);
+        last_received = now;
+        response_overdue = false;
+    }
 };
 
 /// Callbacks through which the fleet serves requests of peers, reads the local state that
--- a/src/session/fleet_heartbeats.cpp
+++ b/src/session/fleet_heartbeats.cpp
@@ -58,8 +58,7 @@
     peer.leaving = heartbeat.leaving();
     peer.configuration_version = heartbeat.configuration_version();
     peer.list_revision = heartbeat.list_revision();
-    peer.last_received = event_loop::now();
-    peer.response_overdue = false;
+    peer.record_contact(event_loop::now());
     const duration sender_interval = std::chrono::milliseconds(heartbeat.period_ms());
     peer.timeout =
         heartbeat_timeout_for(std::max<duration>(sender_interval, min_heartbeat_interval));
@@ -94,6 +93,7 @@
     for (const auto& demand : heartbeat.demands()) {
         peer.usage[demand.workspace()] = {demand.per_second(), demand.admitted()};
     }
+    peer.usage_reported = true;
 }
 
 void fleet::send_heartbeat() {
--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -103,7 +103,8 @@
         return;
     }
     m_usage_exchanged_at = now;
-    const auto peers = m_fleet.live_peers(now);
+    auto peers = m_fleet.live_peers(now);
+    std::erase_if(peers, [](const fleet_peer* peer) { return !peer->usage_reported; });
     const std::size_t presumed_hosts = m_fleet.presumed_host_count(now);
     for (auto& [workspace, share] : m_shares) {
         std::vector<peer_usage> reported;
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -227,11 +227,11 @@
         message.set_sent_ms(static_cast<std::uint64_t>(to_milliseconds(clock.time_since_epoch())));
         return bus.send("127.0.0.1:7593", message);
     }
-    bool send_heartbeat(std::uint32_t period_ms = 200, bool leaving = false) {
+    bool send_heartbeat(std::uint32_t period_ms = 200, bool leaving = false, bool full = true) {
         wire::envelope message;
         message.mutable_fleet()->set_leaving(leaving);
         message.mutable_fleet()->set_period_ms(period_ms);
-        message.mutable_fleet()->set_whole(true);
+        message.mutable_fleet()->set_whole(full);
         message.mutable_fleet()->set_failure_domain("b");
         message.mutable_fleet()->set_peer_address("127.0.0.1:" + std::to_string(scripted_port));
         return send(message);
@@ -302,6 +302,19 @@
         REQUIRE(marker_arrives());
         REQUIRE_FALSE(host.peers->find_live("scripted")->leaving);
     }
+    SECTION("takes no use of rates from before a partition for a new report") {
+        REQUIRE(host.peers->find_live("scripted")->usage_reported);
+        REQUIRE(run_until(loop, [&] { return host.peers->find_live("scripted") == nullptr; }));
+        set_send_delay(duration(0));
+        peer.send_heartbeat(200, false, false);
+        REQUIRE(run_until(loop, [&] { return host.peers->find_live("scripted") != nullptr; }));
+        REQUIRE_FALSE(host.peers->find_live("scripted")->usage_reported);
+        peer.send_heartbeat();
+        REQUIRE(run_until(loop, [&] {
+            const fleet_peer* live = host.peers->find_live("scripted");
+            return live != nullptr && live->usage_reported;
+        }));
+    }
     SECTION("does not consider a peer alive because of a message that a partition delayed") {
         REQUIRE(run_until(loop, [&] { return host.peers->find_live("scripted") == nullptr; }));
         set_send_delay(std::chrono::seconds(9));
