--- a/test/session/caller_session_test.cpp
+++ b/test/session/caller_session_test.cpp
@@ -305,3 +305,24 @@
     REQUIRE(refused >= 40);
     REQUIRE(test.host.sent.empty());
 }
+
+TEST_CASE("operations that no upstream ran use up the workspace's rate") {
+    session_fixture test("own");
+    const auto refused_if_all = [&](upstream_result result) {
+        int refused = 0;
+        for (int i = 0; i < 150; ++i) {
+            test.submit(make(statement_kind::write));
+            while (!test.host.sent.empty()) {
+                test.host.answer(result);
+            }
+            refused += test.last().error == error_kind::rate_limited ? 1 : 0;
+        }
+        return refused;
+    };
+    SECTION("not when it is certain that they will never run") {
+        REQUIRE(refused_if_all(upstream_result::overloaded) == 0);
+    }
+    SECTION("but do when they may have run") {
+        REQUIRE(refused_if_all(upstream_result::unanswered) >= 40);
+    }
+}
