A workspace's first operation on a host takes the other hosts' reports into account

Cause: a host made a workspace's share at its first operation and told it of the other hosts only at the next exchange, up to 0.6 s later.

Change: session_service makes the first exchange when it makes the share.

Test: caller_session_test "a host that has just started spends the whole burst though others run" (100 of 100 admitted before; at most a fifth and what is refilled now).

--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -26,6 +26,23 @@
 // The workspace of callers without a known key, on routes that allow anonymous callers.
 constexpr std::string_view anonymous_workspace = "open";
 
+std::vector<peer_usage> reported_usage(const std::vector<const fleet_peer*>& peers,
+                                       const std::string& workspace) {
+    std::vector<peer_usage> reported;
+    for (const fleet_peer* peer : peers) {
+        if (!peer->usage_reported) {
+            continue;
+        }
+        const auto used = peer->usage.find(workspace);
+        if (used == peer->usage.end()) {
+            reported.push_back({peer->host, 0, std::nullopt});
+        } else {
+            reported.push_back({peer->host, used->second.demand, used->second.admitted});
+        }
+    }
+    return reported;
+}
+
 } // namespace
 
 session_service::session_service(event_loop& loop, fleet_directory& directory,
@@ -64,8 +81,15 @@
     if (policy == policies.end()) {
         return true;
     }
-    const bool admitted = m_shares[workspace].admit(
-        event_loop::now(), policy->second.rate_per_second, policy->second.burst);
+    const time_point now = event_loop::now();
+    const auto [share, is_new] = m_shares.try_emplace(workspace);
+    if (is_new) {
+        // Without knowledge of the other hosts it would take the whole burst for its own.
+        share->second.exchange(now, reported_usage(m_fleet.live_peers(now), workspace),
+                               m_fleet.presumed_host_count(now));
+    }
+    const bool admitted =
+        share->second.admit(now, policy->second.rate_per_second, policy->second.burst);
     if (!admitted) {
         ++m_rate_limited[workspace];
     }
@@ -110,19 +134,10 @@
         return;
     }
     m_usage_exchanged_at = now;
-    auto peers = m_fleet.live_peers(now);
-    std::erase_if(peers, [](const fleet_peer* peer) { return !peer->usage_reported; });
+    const auto peers = m_fleet.live_peers(now);
     const std::size_t presumed_hosts = m_fleet.presumed_host_count(now);
     for (auto& [workspace, share] : m_shares) {
-        std::vector<peer_usage> reported;
-        for (const fleet_peer* peer : peers) {
-            const auto used = peer->usage.find(workspace);
-            reported.push_back(
-                used == peer->usage.end()
-                    ? peer_usage{peer->host, 0, std::nullopt}
-                    : peer_usage{peer->host, used->second.demand, used->second.admitted});
-        }
-        share.exchange(now, reported, presumed_hosts);
+        share.exchange(now, reported_usage(peers, workspace), presumed_hosts);
     }
 }
 
--- a/test/session/caller_session_test.cpp
+++ b/test/session/caller_session_test.cpp
@@ -306,6 +306,25 @@
     REQUIRE(test.host.sent.empty());
 }
 
+TEST_CASE("a host that has just started spends the whole burst though others run") {
+    session_fixture test("own");
+    std::map<std::string, registered_host> hosts;
+    for (const char* name : {"host", "h2", "h3", "h4", "h5"}) {
+        hosts[name] = {name, "a", {"127.0.0.1", 7591}};
+    }
+    test.host.directory.set_registered_hosts(hosts);
+    int admitted = 0;
+    for (int i = 0; i < 100; ++i) {
+        test.begin_transaction();
+        if (!test.last().error) {
+            ++admitted;
+            test.submit(make(statement_kind::rollback));
+        }
+    }
+    INFO(admitted << " admitted; a fifth of the burst is 20");
+    REQUIRE(admitted <= 25);
+}
+
 TEST_CASE("operations that no upstream ran use up the workspace's rate") {
     session_fixture test("own");
     const auto refused_if_all = [&](upstream_result result) {
