--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -26,6 +26,23 @@
 // The workspace of callers without a known key, on routes that allow anonymous callers.
 constexpr std::string_view anonymous_workspace = "open";
 
+std::vector<peer_usage> reported_usage(const std::vector<const fleet_peer*>& peers,
+                                       const std::string& workspace) {
+    std::vector<peer_usage> reported;
+    for (const fleet_peer* peer : peers) {
+        if (!peer->usage_reported) {
+            continue;
+        }
+        const auto used = peer->usage.find(workspace);
+        if (used == peer->usage.end()) {
+            reported.push_back({peer->host, 0, std::nullopt});
+        } else {
+            reported.push_back({peer->host, used->second.demand, used->second.admitted});
+        }
+    }
+    return reported;
+}
+
 } // namespace
 
 session_service::session_service(event_loop& loop, fleet_directory& directory,
@@ -64,14 +81,28 @@
     if (policy == policies.end()) {
         return true;
     }
-    const bool admitted = m_shares[workspace].admit(
-        event_loop::now(), policy->second.rate_per_second, policy->second.burst);
+    const time_point now = event_loop::now();
+    const auto [share, is_new] = m_shares.try_emplace(workspace);
+    if (is_new) {
+        // Without knowledge of the other hosts it would take the whole burst for its own.
+        share->second.exchange(now, reported_usage(m_fleet.live_peers(now), workspace),
+                               m_fleet.presumed_host_count(now));
+    }
+    const bool admitted =
+        share->second.admit(now, policy->second.rate_per_second, policy->second.burst);
     if (!admitted) {
         ++m_rate_limited[workspace];
     }
     return admitted;
 }
 
+void session_service::give_back(const std::string& workspace) {
+    const auto share = m_shares.find(workspace);
+    if (share != m_shares.end()) {
+        share->second.give_back();
+    }
+}
+
 // Logs one line for all workspaces, since a workspace over its rate limit may be refused hundreds
 // of times per second.
 void session_service::log_rate_limited(time_point now) {
@@ -106,25 +137,7 @@
     const auto peers = m_fleet.live_peers(now);
     const std::size_t presumed_hosts = m_fleet.presumed_host_count(now);
     for (auto& [workspace, share] : m_shares) {
-        peer_usage reported;
-        reported.reachable_hosts = peers.size() + 1;
-        reported.presumed_hosts = presumed_hosts;
-        auto& counted = m_counted[workspace];
-        for (const fleet_peer* peer : peers) {
-            const auto used = peer->usage.find(workspace);
-            if (used == peer->usage.end()) {
-                continue;
-            }
-            reported.demand += used->second.demand;
-            // What a host had admitted before this host heard of it is not counted. A host that has
-            // started again counts from zero.
-            const std::uint64_t admitted = used->second.admitted;
-            std::uint64_t& before = counted.try_emplace(peer->host, admitted).first->second;
-            reported.admitted +=
-                static_cast<double>(admitted >= before ? admitted - before : admitted);
-            before = admitted;
-        }
-        share.exchange(now, reported);
+        share.exchange(now, reported_usage(peers, workspace), presumed_hosts);
     }
 }
 
--- a/src/session/session_service.hpp
+++ b/src/session/session_service.hpp
@@ -66,6 +66,8 @@
 
     /// Charges one operation to the workspace's rate limit; false if the limit is exceeded.
     bool admit(const std::string& workspace);
+    /// Takes back the charge for an admitted operation that has not run and never will.
+    void give_back(const std::string& workspace);
 
     /// Chooses an instance for a read that may run on replicas; nothing if none is usable. Without
     /// a recent verified position, this is the primary with a leadership check.
@@ -115,8 +117,6 @@
     withdrawal_bounds m_bounds;
     std::map<std::string, group_state> m_groups;
     std::map<std::string, demand_share> m_shares;
-    /// By workspace and host: the admitted operations that were taken into account.
-    std::map<std::string, std::map<std::string, std::uint64_t>> m_counted;
     time_point m_usage_exchanged_at{};
     /// Operations refused by the rate limit since the last log line, by workspace.
     std::map<std::string, int> m_rate_limited;
