A successor that was never seen to lead gets the term that it was promoted for

Cause: a host that gave up waiting for its successor recorded it as the primary of the newest known term + 1.

Change: the expected term is taken when the promotion is requested. Test: failover_service_test, 'does not take a successor that it never saw lead for newer than the next primary'.

--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -444,6 +444,10 @@
 
 task<bool> failover_service::promote(failover_attempt& attempt, std::string successor) {
     const time_point deadline = event_loop::now() + promotion_timeout;
+    primary_tracker& tracker = m_directory.primary_tracker_for(attempt.group);
+    // Abandoned claims have used up terms that nobody leads. Known before the request, since
+    // another host may have replaced the successor by the time that this one gives up.
+    const std::uint64_t expected_term = tracker.newest_term() + 1;
     bool accepted = false;
     while (!accepted) {
         if (!lease_valid(attempt)) {
@@ -469,10 +473,8 @@
         }
         co_await sleep_for(m_loop, poll_interval);
     }
-    // The platform has accepted the successor, so it leads the term after the newest even if no
-    // host can reach it. Abandoned claims have used up terms that nobody leads.
-    primary_tracker& tracker = m_directory.primary_tracker_for(attempt.group);
-    tracker.record_primary(successor, tracker.newest_term() + 1);
+    // The platform has accepted the successor, so it leads the term even if no host can reach it.
+    tracker.record_primary(successor, expected_term);
     co_return false;
 }
 
--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -86,6 +86,18 @@
         REQUIRE(test.host.run_until([&] { return !test.promoted.empty(); }));
         REQUIRE(test.written.back() == failover_claim{2, "host", "r", false, 2});
     }
+    SECTION("does not take a successor that it never saw lead for newer than the next primary") {
+        test.host.directory.upsert_instance(model::listed_instance("s", false));
+        test.host.reports["s"] = make_status(replication_role::replica, 1);
+        test.promotes_immediately = false;
+        test.service->start();
+        REQUIRE(test.host.run_until([&] { return !test.promoted.empty(); }));
+        const std::string other = test.promoted.front() == "r" ? "s" : "r";
+        test.host.directory.primary_tracker_for("g").record_primary(other, 3);
+        test.host.run_until([] { return false; });
+        test.host.run_until([] { return false; });
+        REQUIRE(test.host.directory.primary("g") == known_primary{other, 3});
+    }
     SECTION("promotes nobody while the primary may acknowledge commits with another instance") {
         test.host.directory.upsert_instance(model::listed_instance("s", false));
         const auto promoted = [&] { return !test.promoted.empty(); };
