--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -10,6 +10,7 @@
 #include "bronzeplank/failover.hpp"
 #include "bronzeplank/group_roster.hpp"
 #include "bronzeplank/primary_tracker.hpp"
+#include "model/contact_tracker.hpp"
 #include "model/failover_instances.hpp"
 #include "model/failover_links.hpp"
 
@@ -91,9 +92,10 @@
     static constexpr std::chrono::milliseconds replica_response_timeout{500};
     static constexpr std::chrono::milliseconds promotion_timeout{3000};
     static constexpr std::chrono::milliseconds follow_timeout{600};
+    static constexpr std::chrono::milliseconds resume_timeout{500};
     static constexpr std::chrono::milliseconds commit_confirmation_timeout{600};
 
-    enum class attempt_phase { pausing, promoting, following, demoting };
+    enum class attempt_phase { pausing, settling, promoting, following, demoting, resuming };
 
     struct attempt_state {
         attempt_phase phase = attempt_phase::pausing;
@@ -106,12 +108,18 @@
         /// The instances that a PAUSE was sent to, answered or not.
         std::set<std::string> pause_requested;
         std::map<std::string, replication_status> paused;
+        /// When the last replica confirmed its pause for the first time.
+        time_point last_pause_at{};
         /// Commands that have no answer yet, with the time when they expire.
         std::map<std::string, time_point> pending;
         std::set<std::string> not_following;
         /// The successor answered that it is the primary.
         bool leads = false;
         bool demoted = false;
+        /// Replicas that have not answered yet that they are not paused any more.
+        std::set<std::string> not_resumed;
+        /// When the last command without an answer expires.
+        time_point commands_expire_at{};
     };
 
     struct waiting_commit {
@@ -124,6 +132,7 @@
         std::map<std::string, std::int64_t> listed;
         group_roster roster;
         established_replicas established;
+        contact_tracker contact{known_primary{"i0", 1}};
         primary_tracker tracker;
         /// The last known primary, listed or not.
         known_primary primary{"i0", 1};
@@ -215,6 +224,7 @@
             }
         }
         update_primary(own);
+        restore_contact(domain, own);
     }
 
     void update_primary(host& own) const {
@@ -241,6 +251,33 @@
         update_primary(own);
         if (confirms_leadership(status, own.primary)) {
             own.established.record_answer(id, requested_at);
+            if (may_vouch(own, id)) {
+                own.contact.record_answer(own.primary, requested_at, m_now);
+            }
+        }
+    }
+
+    bool in_contact(host& own) const {
+        return omits(omitted_rule::unbroken_contact) || own.contact.is_unbroken(own.primary, m_now);
+    }
+
+    // A host that has lost contact asks all members, or reads the claim.
+    void restore_contact(int domain, host& own) {
+        if (own.contact.is_unbroken(own.primary, m_now)) {
+            return;
+        }
+        const std::set<std::string> members = own.roster.members();
+        const bool all_follow =
+            std::all_of(members.begin(), members.end(), [&](const std::string& id) {
+                const auto status = m_group.ask(domain, id);
+                return id == own.primary.instance ||
+                       (status && confirms_leadership(*status, own.primary));
+            });
+        const failover_claim& claim = m_claim.claim;
+        const bool none_newer =
+            claim.term <= own.primary.term || (claim.finished && claim.successor.empty());
+        if (all_follow || (none_newer && m_links.reaches_store(domain) && m_random.chance(0.5))) {
+            own.contact.restore(own.primary, m_now, m_now);
         }
     }
 
@@ -248,12 +285,12 @@
         for (const command_answer& answer : m_group.take_answers(domain)) {
             learn(own, answer.command.instance, answer.status, answer.command.sent_at);
             if (own.attempt) {
-                take_answer(*own.attempt, answer);
+                take_answer(*own.attempt, answer, m_now);
             }
         }
     }
 
-    static void take_answer(attempt_state& attempt, const command_answer& answer) {
+    static void take_answer(attempt_state& attempt, const command_answer& answer, time_point now) {
         const std::string& id = answer.command.instance;
         const replication_status& status = answer.status;
         attempt.pending.erase(id);
@@ -261,15 +298,24 @@
         case command_kind::pause:
             if (answer.command.term == attempt.term && status.role == replication_role::replica &&
                 status.paused_by >= attempt.term) {
-                attempt.paused.emplace(id, status);
+                if (!attempt.paused.contains(id)) {
+                    attempt.last_pause_at = now;
+                }
+                attempt.paused.insert_or_assign(id, status);
             }
             break;
         case command_kind::resume:
             if (status.term >= attempt.term && status.paused_by <= status.term) {
                 attempt.not_following.erase(id);
             }
+            if (status.paused_by == 0) {
+                attempt.not_resumed.erase(id);
+            }
             break;
         case command_kind::report:
+            if (status.term >= attempt.term && status.paused_by <= status.term) {
+                attempt.not_following.erase(id);
+            }
             if (attempt.phase == attempt_phase::promoting && id == attempt.successor &&
                 status.role == replication_role::primary) {
                 attempt.leads = true;
@@ -307,12 +353,17 @@
                !own.established.in_contact(own.primary.instance, m_now);
     }
 
+    bool is_delayed(const sent_commit& commit) const {
+        return !omits(omitted_rule::confirm_delayed_commits) &&
+               m_now - commit.sent_at > established_replicas::contact_window;
+    }
+
     void take_commits(int domain, host& own) {
         for (const sent_commit& commit : m_group.take_commits(domain)) {
             if (commit.instance != own.primary.instance) {
                 continue;
             }
-            if (needs_confirmation(own)) {
+            if (needs_confirmation(own) || is_delayed(commit) || !in_contact(own)) {
                 own.unconfirmed.push_back({commit, m_now});
             } else {
                 acknowledge(own, commit);
@@ -323,7 +374,7 @@
                 waiting.commit.instance != own.primary.instance) {
                 return true;
             }
-            const bool confirmed = confirm(domain, own, waiting.commit.position);
+            const bool confirmed = in_contact(own) && confirm(domain, own, waiting.commit.position);
             if (confirmed) {
                 acknowledge(own, waiting.commit);
             }
@@ -345,7 +396,7 @@
     void serve_read(int domain, host& own) {
         const instance_state* leader = m_group.find(own.primary.instance);
         if (leader == nullptr || !leader->primary || !m_links.answers(domain, leader->domain) ||
-            !confirm(domain, own, std::nullopt)) {
+            !in_contact(own) || !confirm(domain, own, std::nullopt)) {
             return;
         }
         m_stale += missing_in(leader->log) > 0 ? 1 : 0;
@@ -410,6 +461,12 @@
         case attempt_phase::pausing:
             pause_and_choose_successor(domain, own, attempt);
             break;
+        case attempt_phase::settling:
+            read_instances_again(domain, own, attempt);
+            break;
+        case attempt_phase::resuming:
+            await_resumed(domain, own, attempt);
+            break;
         case attempt_phase::promoting:
             await_promotion(domain, own, attempt);
             break;
@@ -441,16 +498,33 @@
             abandon(domain, own);
             return;
         }
+        pause_replicas(domain, own, attempt, false);
+        if (!choose(domain, own, attempt)) {
+            return;
+        }
+        if (omits(omitted_rule::confirm_delayed_commits)) {
+            promote(domain, own, attempt);
+        } else {
+            attempt.phase = attempt_phase::settling;
+        }
+    }
+
+    void pause_replicas(int domain, host& own, attempt_state& attempt, bool repeated) {
+        for (const auto& [id, born] : own.listed) {
+            if (id != attempt.old_primary && (repeated || !attempt.paused.contains(id))) {
+                attempt.pause_requested.insert(id);
+                request(domain, attempt, id, command_kind::pause);
+            }
+        }
+    }
+
+    std::optional<std::string> choose(int domain, host& own, const attempt_state& attempt) {
         failover_choice choice;
         choice.old_primary = attempt.old_primary;
         choice.acknowledged = own.acknowledged;
         choice.members = own.roster.members();
         for (const auto& [id, born] : own.listed) {
             choice.members.insert(id);
-            if (id != attempt.old_primary && !attempt.paused.contains(id)) {
-                attempt.pause_requested.insert(id);
-                request(domain, attempt, id, command_kind::pause);
-            }
         }
         if (omits(omitted_rule::account_for_unreachable)) {
             std::erase_if(choice.members,
@@ -459,11 +533,29 @@
         for (const auto& [id, status] : attempt.paused) {
             choice.answered.push_back({id, status, true});
         }
-        const auto successor = choose_successor(choice);
-        if (!successor) {
+        return choose_successor(choice);
+    }
+
+    // An instance that joined before the pause may have had no time to become listed.
+    void read_instances_again(int domain, host& own, attempt_state& attempt) {
+        if (!in_lease(attempt) || own.primary.instance != attempt.old_primary) {
+            abandon(domain, own);
             return;
         }
-        if (!m_group.promote(*successor, attempt.term, attempt.token)) {
+        pause_replicas(domain, own, attempt, true);
+        const bool settled =
+            m_now - attempt.last_pause_at >= established_replicas::contact_window + step;
+        if (settled && m_links.reaches_store(domain)) {
+            own.listed = m_group.listed();
+            if (choose(domain, own, attempt)) {
+                promote(domain, own, attempt);
+            }
+        }
+    }
+
+    void promote(int domain, host& own, attempt_state& attempt) {
+        const auto successor = choose(domain, own, attempt);
+        if (!successor || !m_group.promote(*successor, attempt.term, attempt.token)) {
             own.attempt.reset();
             return;
         }
@@ -474,14 +566,45 @@
     }
 
     void abandon(int domain, host& own) {
-        const attempt_state& attempt = *own.attempt;
-        if (in_lease(attempt)) {
+        attempt_state& attempt = *own.attempt;
+        if (!in_lease(attempt)) {
+            own.attempt.reset();
+        } else if (omits(omitted_rule::resume_answered)) {
             for (const auto& id : attempt.pause_requested) {
                 m_group.send(domain, id, command_kind::resume, attempt.term);
             }
             finish_claim(attempt, "");
+            own.attempt.reset();
+        } else {
+            attempt.phase = attempt_phase::resuming;
+            attempt.phase_since = m_now;
+            attempt.not_resumed = attempt.pause_requested;
+            for (const auto& [id, expires] : attempt.pending) {
+                attempt.commands_expire_at = std::max(attempt.commands_expire_at, expires);
+            }
+            attempt.pending.clear();
+            await_resumed(domain, own, attempt);
+        }
+    }
+
+    // The claim is released when no command of the attempt can be under way any more.
+    void await_resumed(int domain, host& own, attempt_state& attempt) {
+        const bool repeats = !attempt.not_resumed.empty() && in_lease(attempt) &&
+                             m_now - attempt.phase_since < resume_timeout;
+        if (repeats) {
+            for (const auto& id : attempt.not_resumed) {
+                request(domain, attempt, id, command_kind::resume);
+            }
+            return;
+        }
+        for (const auto& [id, expires] : attempt.pending) {
+            attempt.commands_expire_at = std::max(attempt.commands_expire_at, expires);
+        }
+        attempt.pending.clear();
+        if (m_now > attempt.commands_expire_at) {
+            finish_claim(attempt, "");
+            own.attempt.reset();
         }
-        own.attempt.reset();
     }
 
     void await_promotion(int domain, host& own, attempt_state& attempt) {
@@ -493,6 +616,10 @@
                     attempt.not_following.insert(id);
                 }
             }
+            attempt.pending.clear();
+            if (!omits(omitted_rule::resume_answered) && own.listed.contains(attempt.old_primary)) {
+                m_group.send(domain, attempt.old_primary, command_kind::demote, attempt.term);
+            }
             await_following(domain, own, attempt);
             return;
         }
@@ -514,12 +641,22 @@
     void await_following(int domain, host& own, attempt_state& attempt) {
         const bool waits = !attempt.not_following.empty() && in_lease(attempt) &&
                            m_now - attempt.phase_since < follow_timeout;
+        const bool resumes = omits(omitted_rule::resume_answered);
         if (waits) {
             for (const auto& id : attempt.not_following) {
-                m_group.send(domain, id, command_kind::resume, attempt.term);
+                if (resumes) {
+                    m_group.send(domain, id, command_kind::resume, attempt.term);
+                } else {
+                    request(domain, attempt, id, command_kind::report);
+                }
             }
             return;
         }
+        if (!resumes) {
+            finish_claim(attempt, attempt.successor);
+            own.attempt.reset();
+            return;
+        }
         if (own.listed.contains(attempt.old_primary)) {
             m_group.send(domain, attempt.old_primary, command_kind::demote, attempt.term);
         }
