--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -147,6 +147,8 @@
     struct stored_claim {
         failover_claim claim{1, "", "", true};
         std::uint64_t revision = 1;
+        /// The newest term for which a promotion may have been sent; later claims keep it.
+        std::uint64_t promoted_term = 1;
     };
 
     bool omits(omitted_rule rule) const { return m_omitted.contains(rule); }
@@ -261,26 +263,30 @@
         return omits(omitted_rule::unbroken_contact) || own.contact.is_unbroken(own.primary, m_now);
     }
 
-    // A host that has lost contact asks all members, or reads the claim.
+    // A host that has lost contact reads the claim and the instances, and asks all of them.
     void restore_contact(int domain, host& own) {
-        if (own.contact.is_unbroken(own.primary, m_now)) {
+        if (own.contact.is_unbroken(own.primary, m_now) || !m_links.reaches_store(domain) ||
+            m_random.chance(0.5)) {
             return;
         }
-        const std::set<std::string> members = own.roster.members();
-        const bool all_follow =
-            std::all_of(members.begin(), members.end(), [&](const std::string& id) {
-                const auto status = m_group.ask(domain, id);
-                return id == own.primary.instance ||
-                       (status && confirms_leadership(*status, own.primary));
-            });
-        const failover_claim& claim = m_claim.claim;
-        const bool none_newer =
-            claim.term <= own.primary.term || (claim.finished && claim.successor.empty());
-        if (all_follow || (none_newer && m_links.reaches_store(domain) && m_random.chance(0.5))) {
+        const bool none_newer = m_claim.promoted_term <= own.primary.term;
+        if (none_newer || all_follow(domain, own)) {
             own.contact.restore(own.primary, m_now, m_now);
         }
     }
 
+    bool all_follow(int domain, host& own) {
+        std::set<std::string> members = own.roster.members();
+        for (const auto& [id, born] : m_group.listed()) {
+            members.insert(id);
+        }
+        return std::all_of(members.begin(), members.end(), [&](const std::string& id) {
+            const auto status = m_group.ask(domain, id);
+            return id == own.primary.instance ||
+                   (status && confirms_leadership(*status, own.primary));
+        });
+    }
+
     void take_answers(int domain, host& own) {
         for (const command_answer& answer : m_group.take_answers(domain)) {
             learn(own, answer.command.instance, answer.status, answer.command.sent_at);
@@ -353,6 +359,10 @@
                !own.established.in_contact(own.primary.instance, m_now);
     }
 
+    static bool is_of_present_term(const host& own, const sent_commit& commit) {
+        return commit.instance == own.primary.instance && commit.position.term == own.primary.term;
+    }
+
     bool is_delayed(const sent_commit& commit) const {
         return !omits(omitted_rule::confirm_delayed_commits) &&
                m_now - commit.sent_at > established_replicas::contact_window;
@@ -360,7 +370,7 @@
 
     void take_commits(int domain, host& own) {
         for (const sent_commit& commit : m_group.take_commits(domain)) {
-            if (commit.instance != own.primary.instance) {
+            if (!is_of_present_term(own, commit)) {
                 continue;
             }
             if (needs_confirmation(own) || is_delayed(commit) || !in_contact(own)) {
@@ -371,7 +381,7 @@
         }
         std::erase_if(own.unconfirmed, [&](const waiting_commit& waiting) {
             if (m_now - waiting.answered_at > commit_confirmation_timeout ||
-                waiting.commit.instance != own.primary.instance) {
+                !is_of_present_term(own, waiting.commit)) {
                 return true;
             }
             const bool confirmed = in_contact(own) && confirm(domain, own, waiting.commit.position);
@@ -436,14 +446,17 @@
         attempt.old_primary = own.primary.instance;
         attempt.lease_end = m_now + claim_lease;
         attempt.phase_since = m_now;
-        m_claim = {{attempt.term, name(domain), "", false}, m_claim.revision + 1};
+        m_claim = {
+            {attempt.term, name(domain), "", false}, m_claim.revision + 1, m_claim.promoted_term};
         attempt.token = m_claim.revision;
         own.attempt = attempt;
     }
 
     void finish_claim(const attempt_state& attempt, const std::string& successor) {
         if (m_claim.revision == attempt.token) {
-            m_claim = {{attempt.term, m_claim.claim.holder, successor, true}, m_claim.revision + 1};
+            m_claim.claim.successor = successor;
+            m_claim.claim.finished = true;
+            ++m_claim.revision;
         }
     }
 
@@ -555,7 +568,8 @@
 
     void promote(int domain, host& own, attempt_state& attempt) {
         const auto successor = choose(domain, own, attempt);
-        if (!successor || !m_group.promote(*successor, attempt.term, attempt.token)) {
+        if (!successor || !record_successor(attempt, *successor) ||
+            !m_group.promote(*successor, attempt.term, attempt.token)) {
             own.attempt.reset();
             return;
         }
@@ -565,6 +579,20 @@
         attempt.pending.clear();
     }
 
+    // An unfinished claim names its successor before the promotion is sent.
+    bool record_successor(attempt_state& attempt, const std::string& successor) {
+        if (omits(omitted_rule::unbroken_contact)) {
+            return true;
+        }
+        if (m_claim.revision != attempt.token) {
+            return false;
+        }
+        m_claim.claim.successor = successor;
+        m_claim.promoted_term = attempt.term;
+        attempt.token = ++m_claim.revision;
+        return true;
+    }
+
     void abandon(int domain, host& own) {
         attempt_state& attempt = *own.attempt;
         if (!in_lease(attempt)) {
