--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -147,8 +147,8 @@
     struct stored_claim {
         failover_claim claim{1, "", "", true};
         std::uint64_t revision = 1;
-        /// The newest term for which a promotion may have been sent; later claims keep it.
-        std::uint64_t promoted_term = 1;
+        /// The newest promotion that may have been sent; later claims keep it.
+        known_primary promoted{"i0", 1};
     };
 
     bool omits(omitted_rule rule) const { return m_omitted.contains(rule); }
@@ -269,7 +269,7 @@
             m_random.chance(0.5)) {
             return;
         }
-        const bool none_newer = m_claim.promoted_term <= own.primary.term;
+        const bool none_newer = m_claim.promoted.term <= own.primary.term;
         if (none_newer || all_follow(domain, own)) {
             own.contact.restore(own.primary, m_now, m_now);
         }
@@ -277,6 +277,7 @@
 
     bool all_follow(int domain, host& own) {
         std::set<std::string> members = own.roster.members();
+        members.insert(m_claim.promoted.instance);
         for (const auto& [id, born] : m_group.listed()) {
             members.insert(id);
         }
@@ -446,8 +447,7 @@
         attempt.old_primary = own.primary.instance;
         attempt.lease_end = m_now + claim_lease;
         attempt.phase_since = m_now;
-        m_claim = {
-            {attempt.term, name(domain), "", false}, m_claim.revision + 1, m_claim.promoted_term};
+        m_claim = {{attempt.term, name(domain), "", false}, m_claim.revision + 1, m_claim.promoted};
         attempt.token = m_claim.revision;
         own.attempt = attempt;
     }
@@ -588,7 +588,7 @@
             return false;
         }
         m_claim.claim.successor = successor;
-        m_claim.promoted_term = attempt.term;
+        m_claim.promoted = {successor, attempt.term};
         attempt.token = ++m_claim.revision;
         return true;
     }
