--- a/test/model/failover_instances.hpp
+++ b/test/model/failover_instances.hpp
@@ -28,7 +28,7 @@
     /// A promotion ends the pause of every replica, also of those that can't hear the successor.
     bool promotion_ends_pauses = true;
     /// The platform's terms follow each other, whatever term the coordinator claimed.
-    bool platform_counts_terms = false;
+    bool platform_counts_terms = true;
     /// Commands and their answers may be late, by up to this.
     std::chrono::milliseconds max_command_delay{1000};
 };
--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -38,7 +38,9 @@
     /// A commit that hung is acknowledged like any other, and a claim reads the instances once.
     confirm_delayed_commits,
     /// Confirming answers count however far apart they are.
-    unbroken_contact
+    unbroken_contact,
+    /// Any answer to a PAUSE counts, also that of a former primary, which ignores the command.
+    confirm_pauses
 };
 
 using omitted_rules = std::set<omitted_rule>;
@@ -113,8 +115,11 @@
         /// Commands that have no answer yet, with the time when they expire.
         std::map<std::string, time_point> pending;
         std::set<std::string> not_following;
+        /// Those of them that follow the successor, but were paused again.
+        std::set<std::string> paused_late;
         /// The successor answered that it is the primary.
         bool leads = false;
+        std::uint64_t led_term = 0;
         bool demoted = false;
         /// Replicas that have not answered yet that they are not paused any more.
         std::set<std::string> not_resumed;
@@ -147,8 +152,8 @@
     struct stored_claim {
         failover_claim claim{1, "", "", true};
         std::uint64_t revision = 1;
-        /// The newest promotion that may have been sent; later claims keep it.
-        known_primary promoted{"i0", 1};
+        /// The newest term that a promotion may have led to; later claims keep it.
+        std::uint64_t promoted_term = 1;
     };
 
     bool omits(omitted_rule rule) const { return m_omitted.contains(rule); }
@@ -183,6 +188,7 @@
             own.listed = m_group.listed();
             see_claim(own);
         }
+        take_list_of_peers(domain, own);
         update_knowledge(domain, own);
         take_answers(domain, own);
         take_commits(domain, own);
@@ -220,7 +226,7 @@
         own.roster.update(seen, m_group.ask(domain, own.primary.instance).has_value(), m_now);
         for (int other = 0; other < domain_count; ++other) {
             const host& peer = m_hosts.at(static_cast<std::size_t>(other));
-            if (m_links.linked(other, domain) && peer.frozen_until <= m_now) {
+            if (hears(domain, other)) {
                 own.acknowledged = std::max(own.acknowledged, peer.acknowledged);
                 own.tracker.record_hearsay(peer.primary.instance, peer.primary.term);
             }
@@ -263,24 +269,35 @@
         return omits(omitted_rule::unbroken_contact) || own.contact.is_unbroken(own.primary, m_now);
     }
 
-    // A host that has lost contact reads the claim and the instances, and asks all of them.
+    // A host that has lost contact reads the claim. Without the platform it asks all members, if
+    // it hears most hosts.
     void restore_contact(int domain, host& own) {
-        if (own.contact.is_unbroken(own.primary, m_now) || !m_links.reaches_store(domain) ||
-            m_random.chance(0.5)) {
+        if (own.contact.is_unbroken(own.primary, m_now) || m_random.chance(0.5)) {
             return;
         }
-        const bool none_newer = m_claim.promoted.term <= own.primary.term;
-        if (none_newer || all_follow(domain, own)) {
+        const bool none_newer = m_links.reaches_store(domain)
+                                    ? m_claim.promoted_term <= own.primary.term
+                                    : hears_most(domain) && all_follow(domain, own);
+        if (none_newer) {
             own.contact.restore(own.primary, m_now, m_now);
         }
     }
 
-    bool all_follow(int domain, host& own) {
-        std::set<std::string> members = own.roster.members();
-        members.insert(m_claim.promoted.instance);
-        for (const auto& [id, born] : m_group.listed()) {
-            members.insert(id);
+    bool hears(int domain, int other) const {
+        return other != domain && m_links.linked(other, domain) &&
+               m_hosts.at(static_cast<std::size_t>(other)).frozen_until <= m_now;
+    }
+
+    bool hears_most(int domain) const {
+        int heard = 1;
+        for (int other = 0; other < domain_count; ++other) {
+            heard += hears(domain, other) ? 1 : 0;
         }
+        return 2 * heard > domain_count;
+    }
+
+    bool all_follow(int domain, host& own) {
+        const std::set<std::string> members = own.roster.members();
         return std::all_of(members.begin(), members.end(), [&](const std::string& id) {
             const auto status = m_group.ask(domain, id);
             return id == own.primary.instance ||
@@ -288,44 +305,52 @@
         });
     }
 
+    // A host that is cut off from the platform gets the list from a peer that isn't.
+    void take_list_of_peers(int domain, host& own) {
+        for (int other = 0; other < domain_count; ++other) {
+            if (!m_links.reaches_store(domain) && m_links.reaches_store(other) &&
+                hears(domain, other) && m_random.chance(0.2)) {
+                own.listed = m_hosts.at(static_cast<std::size_t>(other)).listed;
+            }
+        }
+    }
+
     void take_answers(int domain, host& own) {
         for (const command_answer& answer : m_group.take_answers(domain)) {
             learn(own, answer.command.instance, answer.status, answer.command.sent_at);
             if (own.attempt) {
-                take_answer(*own.attempt, answer, m_now);
+                take_answer(*own.attempt, answer);
             }
         }
     }
 
-    static void take_answer(attempt_state& attempt, const command_answer& answer, time_point now) {
+    void take_answer(attempt_state& attempt, const command_answer& answer) const {
         const std::string& id = answer.command.instance;
         const replication_status& status = answer.status;
         attempt.pending.erase(id);
         switch (answer.command.kind) {
         case command_kind::pause:
-            if (answer.command.term == attempt.term && status.role == replication_role::replica &&
-                status.paused_by >= attempt.term) {
+            if (answer.command.term == attempt.term &&
+                (omits(omitted_rule::confirm_pauses) ||
+                 (status.role == replication_role::replica && status.paused_by >= attempt.term))) {
                 if (!attempt.paused.contains(id)) {
-                    attempt.last_pause_at = now;
+                    attempt.last_pause_at = m_now;
                 }
                 attempt.paused.insert_or_assign(id, status);
             }
             break;
         case command_kind::resume:
-            if (status.term >= attempt.term && status.paused_by <= status.term) {
-                attempt.not_following.erase(id);
-            }
             if (status.paused_by == 0) {
                 attempt.not_resumed.erase(id);
             }
+            take_following(attempt, id, status);
             break;
         case command_kind::report:
-            if (status.term >= attempt.term && status.paused_by <= status.term) {
-                attempt.not_following.erase(id);
-            }
+            take_following(attempt, id, status);
             if (attempt.phase == attempt_phase::promoting && id == attempt.successor &&
                 status.role == replication_role::primary) {
                 attempt.leads = true;
+                attempt.led_term = status.term;
             }
             break;
         case command_kind::demote:
@@ -334,6 +359,19 @@
         }
     }
 
+    // A replica that follows the successor may be paused by a command that came late.
+    static void take_following(attempt_state& attempt, const std::string& id,
+                               const replication_status& status) {
+        if (attempt.leads && status.term >= attempt.led_term) {
+            if (status.paused_by == 0) {
+                attempt.not_following.erase(id);
+                attempt.paused_late.erase(id);
+            } else {
+                attempt.paused_late.insert(id);
+            }
+        }
+    }
+
     bool may_vouch(const host& own, const std::string& id) const {
         return id != own.primary.instance &&
                (omits(omitted_rule::establish_replicas) || own.established.is_established(id));
@@ -447,13 +485,18 @@
         attempt.old_primary = own.primary.instance;
         attempt.lease_end = m_now + claim_lease;
         attempt.phase_since = m_now;
-        m_claim = {{attempt.term, name(domain), "", false}, m_claim.revision + 1, m_claim.promoted};
+        m_claim = {
+            {attempt.term, name(domain), "", false}, m_claim.revision + 1, m_claim.promoted_term};
         attempt.token = m_claim.revision;
         own.attempt = attempt;
     }
 
     void finish_claim(const attempt_state& attempt, const std::string& successor) {
         if (m_claim.revision == attempt.token) {
+            if (attempt.leads) {
+                m_claim.claim.term = attempt.led_term;
+                m_claim.promoted_term = attempt.led_term;
+            }
             m_claim.claim.successor = successor;
             m_claim.claim.finished = true;
             ++m_claim.revision;
@@ -568,7 +611,7 @@
 
     void promote(int domain, host& own, attempt_state& attempt) {
         const auto successor = choose(domain, own, attempt);
-        if (!successor || !record_successor(attempt, *successor) ||
+        if (!successor || !record_successor(own, attempt, *successor) ||
             !m_group.promote(*successor, attempt.term, attempt.token)) {
             own.attempt.reset();
             return;
@@ -580,7 +623,7 @@
     }
 
     // An unfinished claim names its successor before the promotion is sent.
-    bool record_successor(attempt_state& attempt, const std::string& successor) {
+    bool record_successor(const host& own, attempt_state& attempt, const std::string& successor) {
         if (omits(omitted_rule::unbroken_contact)) {
             return true;
         }
@@ -588,7 +631,7 @@
             return false;
         }
         m_claim.claim.successor = successor;
-        m_claim.promoted = {successor, attempt.term};
+        m_claim.promoted_term = std::max(m_claim.promoted_term, own.tracker.newest_term()) + 1;
         attempt.token = ++m_claim.revision;
         return true;
     }
@@ -646,13 +689,14 @@
             }
             attempt.pending.clear();
             if (!omits(omitted_rule::resume_answered) && own.listed.contains(attempt.old_primary)) {
-                m_group.send(domain, attempt.old_primary, command_kind::demote, attempt.term);
+                m_group.send(domain, attempt.old_primary, command_kind::demote,
+                             own.tracker.newest_term());
             }
             await_following(domain, own, attempt);
             return;
         }
         if (m_now - attempt.phase_since > promotion_timeout) {
-            own.tracker.record_primary(attempt.successor, attempt.term);
+            own.tracker.record_primary(attempt.successor, own.tracker.newest_term() + 1);
             own.attempt.reset();
             return;
         }
@@ -675,18 +719,28 @@
                 if (resumes) {
                     m_group.send(domain, id, command_kind::resume, attempt.term);
                 } else {
-                    request(domain, attempt, id, command_kind::report);
+                    request(domain, attempt, id,
+                            attempt.paused_late.contains(id) ? command_kind::resume
+                                                             : command_kind::report);
+                    if (attempt.paused_late.contains(id)) {
+                        attempt.commands_expire_at =
+                            std::max(attempt.commands_expire_at, m_now + command_life);
+                    }
                 }
             }
             return;
         }
         if (!resumes) {
-            finish_claim(attempt, attempt.successor);
-            own.attempt.reset();
+            const bool resumed = attempt.paused_late.empty();
+            if (resumed || m_now > attempt.commands_expire_at) {
+                finish_claim(attempt, attempt.successor);
+                own.attempt.reset();
+            }
             return;
         }
         if (own.listed.contains(attempt.old_primary)) {
-            m_group.send(domain, attempt.old_primary, command_kind::demote, attempt.term);
+            m_group.send(domain, attempt.old_primary, command_kind::demote,
+                         own.tracker.newest_term());
         }
         attempt.phase = attempt_phase::demoting;
         attempt.phase_since = m_now;
