--- a/test/failover_walks_test.cpp
+++ b/test/failover_walks_test.cpp
@@ -78,4 +78,19 @@
     SECTION("a coordinator that goes on after its lease") {
         CHECK(found(omitted_rule::claim_lease, loses));
     }
+    SECTION("commands of an abandoned attempt that arrive after its claim is released") {
+        CHECK(found(omitted_rule::resume_answered, loses));
+    }
+    SECTION("commits that hung and are acknowledged like any other") {
+        CHECK(found(omitted_rule::confirm_delayed_commits, loses));
+    }
+    SECTION("commits that are acknowledged after a gap in contact") {
+        CHECK(found(omitted_rule::unbroken_contact, loses));
+    }
+    SECTION("reads that are served after a gap in contact") {
+        CHECK(found(omitted_rule::unbroken_contact, misses));
+    }
+    SECTION("answers to PAUSE of instances that ignored it") {
+        CHECK(found(omitted_rule::confirm_pauses, loses));
+    }
 }
--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -120,6 +120,8 @@
         /// The successor answered that it is the primary.
         bool leads = false;
         std::uint64_t led_term = 0;
+        /// The highest term that the promotion can lead to.
+        std::uint64_t promoted_term = 0;
         bool demoted = false;
         /// Replicas that have not answered yet that they are not paused any more.
         std::set<std::string> not_resumed;
@@ -452,10 +454,9 @@
     }
 
     int missing_in(const std::vector<int>& log) const {
-        const std::set<int> kept(log.begin(), log.end());
         int missing = 0;
         for (const int commit : m_acknowledged) {
-            missing += kept.contains(commit) ? 0 : 1;
+            missing += std::binary_search(log.begin(), log.end(), commit) ? 0 : 1;
         }
         return missing;
     }
@@ -625,6 +626,7 @@
     // An unfinished claim names its successor before the promotion is sent.
     bool record_successor(const host& own, attempt_state& attempt, const std::string& successor) {
         if (omits(omitted_rule::unbroken_contact)) {
+            attempt.promoted_term = own.tracker.newest_term() + 1;
             return true;
         }
         if (m_claim.revision != attempt.token) {
@@ -633,6 +635,7 @@
         m_claim.claim.successor = successor;
         m_claim.promoted_term = std::max(m_claim.promoted_term, own.tracker.newest_term()) + 1;
         attempt.token = ++m_claim.revision;
+        attempt.promoted_term = m_claim.promoted_term;
         return true;
     }
 
@@ -696,7 +699,7 @@
             return;
         }
         if (m_now - attempt.phase_since > promotion_timeout) {
-            own.tracker.record_primary(attempt.successor, own.tracker.newest_term() + 1);
+            own.tracker.record_primary(attempt.successor, attempt.promoted_term);
             own.attempt.reset();
             return;
         }
