--- a/test/failover_walks_test.cpp
+++ b/test/failover_walks_test.cpp
@@ -22,7 +22,7 @@
 walk_totals walk_all(std::uint64_t walks) {
     walk_totals totals;
     for (std::uint64_t i = 0; i < walks; ++i) {
-        failover_model walked(model::first_seed() + i, omitted_rule::none);
+        failover_model walked(model::first_seed() + i);
         walked.run(steps_per_walk);
         if (walked.lost() + walked.stale() > 0) {
             UNSCOPED_INFO("seed " << model::first_seed() + i << ": lost " << walked.lost()
@@ -55,7 +55,7 @@
     constexpr std::uint64_t max_walks = 20'000;
     const auto found = [](omitted_rule omitted, auto broken) {
         for (std::uint64_t i = 0; i < max_walks; ++i) {
-            failover_model walked(model::first_seed() + i, omitted);
+            failover_model walked(model::first_seed() + i, {omitted});
             walked.run(steps_per_walk);
             if (broken(walked)) {
                 return true;
@@ -78,4 +78,19 @@
     SECTION("a coordinator that goes on after its lease") {
         CHECK(found(omitted_rule::claim_lease, loses));
     }
+    SECTION("commands of an abandoned attempt that arrive after its claim is released") {
+        CHECK(found(omitted_rule::resume_answered, loses));
+    }
+    SECTION("commits that hung and are acknowledged like any other") {
+        CHECK(found(omitted_rule::confirm_delayed_commits, loses));
+    }
+    SECTION("commits that are acknowledged after a gap in contact") {
+        CHECK(found(omitted_rule::unbroken_contact, loses));
+    }
+    SECTION("reads that are served after a gap in contact") {
+        CHECK(found(omitted_rule::unbroken_contact, misses));
+    }
+    SECTION("answers to PAUSE of instances that ignored it") {
+        CHECK(found(omitted_rule::confirm_pauses, loses));
+    }
 }
