Pauses are verified before the promotion; contact and claims heal; commit rounds follow the primary

Now the successor is stored first, then every paused replica is asked again: it must still be paused at the position that was counted. What un-pauses later meets hosts without contact and a claim that names the newer term. So that contact has broken by then, the list is read 200 ms after the last pause. - A claim's promoted term that nobody leads blocked a group until its next failover: it is now the term that the platform is expected to count, and a write of unknown outcome is read again. - Contact could not be restored by a platform that answers later than 200 ms: a proof now counts if confirmations have followed it closely. - Checks that fail read the claim without a pause: now once in 100 ms a group. - Commit rounds went on asking for the primary before; its commits fail at once now.

Tests: failover_service_test ('promotes nobody if a paused replica starts again and receives before the promotion'), unbroken_contact_test; all of failover_service_test, upstream_router_test and unbroken_contact_test pass.

--- a/include/bronzeplank/unbroken_contact.hpp
+++ b/include/bronzeplank/unbroken_contact.hpp
@@ -24,29 +24,42 @@
 
     /// Records that an established replica answered that it follows the primary and isn't paused.
     void record_confirmation(time_point requested_at, time_point now) {
-        if (unbroken(now)) {
-            m_proved_at = std::max(m_proved_at, requested_at);
+        if (!is_recent(now)) {
+            m_first_answer_at = now;
+            m_proved = false;
         }
+        m_last = std::max(m_last, requested_at);
     }
 
-    /// Records that the primary led the group at that time, as proved by other means.
-    void restore(time_point proved_at) { m_proved_at = std::max(m_proved_at, proved_at); }
+    /// Records that the primary led the group at that time, as proved by other means. The proof may
+    /// arrive late if confirmations have followed it closely.
+    void restore(time_point proved_at) {
+        if (proved_at > m_last) {
+            m_first_answer_at = proved_at;
+            m_last = proved_at;
+        }
+        m_proved = m_proved || m_first_answer_at - proved_at <= max_interval;
+    }
 
     /// Forgets all proofs, as when the group has another primary.
-    void reset() { m_proved_at = {}; }
+    void reset() { *this = unbroken_contact(); }
 
     /// Whether no promotion has taken effect up to the last confirmation, which is recent.
-    bool unbroken(time_point now) const {
-        return m_proved_at != time_point{} && now - m_proved_at <= max_interval;
-    }
+    bool unbroken(time_point now) const { return m_proved && is_recent(now); }
 
     /// Whether a confirmation is due lest the contact break.
-    bool needs_confirmation(time_point now) const {
-        return unbroken(now) && now - m_proved_at > max_interval / 4;
-    }
+    bool needs_confirmation(time_point now) const { return now - m_last > max_interval / 4; }
 
 private:
-    time_point m_proved_at{};
+    bool is_recent(time_point now) const {
+        return m_last != time_point{} && now - m_last <= max_interval;
+    }
+
+    /// Since then confirmations have followed each other closely.
+    time_point m_first_answer_at{};
+    time_point m_last{};
+    /// Whether the primary's leadership was proved since then.
+    bool m_proved = false;
 };
 
 } // namespace bronzeplank
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -20,6 +20,10 @@
 constexpr std::chrono::milliseconds promotion_timeout{3000};
 constexpr std::chrono::milliseconds follow_timeout{600};
 constexpr std::chrono::milliseconds resume_timeout{500};
+constexpr std::chrono::milliseconds verification_timeout{300};
+// When all replicas have been paused for this long, no host acknowledges a commit without a proof.
+constexpr duration settling_time =
+    std::max<duration>(established_replicas::contact_window, unbroken_contact::max_interval);
 // A command without an answer may still arrive within this time.
 constexpr std::chrono::milliseconds command_lifetime{1000};
 static_assert(claim_lease + command_lifetime <= claim_timeout);
@@ -321,6 +325,7 @@
         1;
     attempt.lease_end = now + claim_lease;
     attempt.listed_at = now;
+    attempt.promoted_before = present.claim.promoted_term;
     attempt.promoted_term = present.claim.promoted_term;
     const failover_claim wanted{attempt.term, m_router.host(), "", false, attempt.promoted_term};
     const stored_claim written = co_await m_platform.write(attempt.group, present.revision, wanted);
@@ -373,12 +378,11 @@
     }
 }
 
-// Until the contact window after the last pause has passed, hosts may still acknowledge commits
-// that only the old primary and an instance have that registered meanwhile.
+// Until the settling time after the last pause has passed, hosts may still acknowledge commits that
+// only the old primary and an instance have that registered meanwhile.
 bool failover_service::is_list_current(const failover_attempt& attempt) const {
     return attempt.old_primary_demoted ||
-           attempt.listed_at >=
-               attempt.commands->confirmed_at + established_replicas::contact_window;
+           attempt.listed_at >= attempt.commands->confirmed_at + settling_time;
 }
 
 task<std::string> failover_service::pause_and_choose_successor(failover_attempt& attempt) {
@@ -403,8 +407,7 @@
         if (!chosen && now - started >= replica_response_timeout) {
             co_return std::string();
         }
-        const time_point list_due =
-            attempt.commands->confirmed_at + established_replicas::contact_window;
+        const time_point list_due = attempt.commands->confirmed_at + settling_time;
         if (chosen && now >= list_due) {
             attempt.listed_at = now;
             if (!co_await m_platform.refresh_instances()) {
@@ -430,7 +433,7 @@
 }
 
 // Stored before the promotion is requested, so that the claim shows which promotions may have taken
-// effect. The claim's term is no lower than the one that the successor will lead.
+// effect.
 task<bool> failover_service::store_successor(failover_attempt& attempt, std::string successor,
                                              std::uint64_t term) {
     const failover_claim wanted{attempt.term, m_router.host(), successor, false, term};
@@ -442,6 +445,33 @@
     co_return written.succeeded;
 }
 
+// Asks the paused replicas again: one that has restarted, or that a late command has resumed, is
+// not paused any more. What one receives after its answer is not acknowledged, since the claim
+// names the successor by then.
+task<bool> failover_service::pauses_hold(failover_attempt& attempt) {
+    const auto holding = std::make_shared<std::size_t>(0);
+    std::size_t needed = 0;
+    const time_point deadline = event_loop::now() + verification_timeout;
+    for (const auto& [replica, status] : attempt.commands->confirmed) {
+        if (replica == attempt.old_primary) {
+            continue;
+        }
+        ++needed;
+        m_router.send_command(replica, replication_command::pause, attempt.term,
+                              [holding, before = status,
+                               term = attempt.term](const std::optional<replication_status>& now) {
+                                  const bool holds = now && now->paused_by >= term &&
+                                                     now->role == replication_role::replica &&
+                                                     now->received == before.received;
+                                  *holding += holds ? 1 : 0;
+                              });
+    }
+    while (*holding < needed && event_loop::now() < deadline && lease_valid(attempt)) {
+        co_await sleep_for(m_loop, poll_interval);
+    }
+    co_return *holding == needed;
+}
+
 task<bool> failover_service::promote(failover_attempt& attempt, std::string successor) {
     const time_point deadline = event_loop::now() + promotion_timeout;
     primary_tracker& tracker = m_directory.primary_tracker_for(attempt.group);
@@ -581,7 +611,7 @@
                               attempt.leading_term,
                               [](const std::optional<replication_status>&) {});
     }
-    if (attempt.leading_term < attempt.term) {
+    if (attempt.leading_term != attempt.promoted_term) {
         co_await store_successor(attempt, successor, attempt.leading_term);
     }
     co_await wait_until_following(attempt, successor);
@@ -596,8 +626,14 @@
 task<void> failover_service::abandon(failover_attempt& attempt) {
     co_await resume_replicas(attempt);
     co_await wait_for_resumes(attempt);
-    const failover_claim released{attempt.term, m_router.host(), "", true, attempt.promoted_term};
-    co_await m_platform.write(attempt.group, attempt.token, released);
+    // The outcome of an earlier write may be unknown.
+    const stored_claim present = co_await m_platform.read(attempt.group);
+    if (present.succeeded && !present.claim.finished && present.claim.term == attempt.term &&
+        present.claim.holder == m_router.host()) {
+        const failover_claim released{attempt.term, m_router.host(), "", true,
+                                      attempt.promoted_before};
+        co_await m_platform.write(attempt.group, present.revision, released);
+    }
 }
 
 task<void> failover_service::run_failover(std::string group, std::string old_primary,
@@ -620,9 +656,15 @@
             co_await send_command(old_primary, replication_command::hold, 0);
         }
         successor = co_await pause_and_choose_successor(attempt);
-        const bool stored =
-            !successor.empty() && co_await store_successor(attempt, successor, attempt.term);
-        if (stored && lease_valid(attempt)) {
+        bool may_promote = false;
+        if (!successor.empty()) {
+            const primary_tracker& tracker = m_directory.primary_tracker_for(group);
+            const std::uint64_t expected =
+                std::max(attempt.promoted_term, tracker.newest_term()) + 1;
+            may_promote = co_await store_successor(attempt, successor, expected);
+            may_promote = may_promote && co_await pauses_hold(attempt);
+        }
+        if (may_promote && lease_valid(attempt)) {
             promoted = co_await promote(attempt, successor);
         }
         if (promoted) {
@@ -642,7 +684,7 @@
                  {"in_lease", lease_valid(attempt) ? "true" : "false"}});
             // A promotion request in flight may still promote the successor. The replicas then
             // stay paused until the next attempt.
-            if (!stored && lease_valid(attempt)) {
+            if (!may_promote && lease_valid(attempt)) {
                 co_await abandon(attempt);
             }
         }
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -125,7 +125,8 @@
         std::uint64_t term = 0;
         /// The term that the successor leads, as the platform counts terms.
         std::uint64_t leading_term = 0;
-        /// The newest term that may have been promoted before.
+        /// The newest term that may have been promoted before this attempt, and as stored now.
+        std::uint64_t promoted_before = 0;
         std::uint64_t promoted_term = 0;
         std::uint64_t token = 0;
         time_point lease_end;
@@ -158,6 +159,7 @@
     failover_choice current_choice(const failover_attempt& attempt) const;
     task<bool> store_successor(failover_attempt& attempt, std::string successor,
                                std::uint64_t term);
+    task<bool> pauses_hold(failover_attempt& attempt);
     task<bool> promote(failover_attempt& attempt, std::string successor);
     void send_resume(const failover_attempt& attempt, const std::string& replica);
     task<void> resume_replicas(failover_attempt& attempt);
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds commit_round_pause{4};
 // A commit that took longer may have waited until an instance received it that no host knows yet.
 constexpr std::chrono::milliseconds delayed_commit_threshold{150};
+// Checks fail at once for this long after one has failed, so that they don't flood the platform.
+constexpr std::chrono::milliseconds restoration_pause{100};
 // Contact with a group is kept for this long after the last check.
 constexpr std::chrono::seconds contact_retention{3};
 
@@ -209,6 +211,10 @@
         on_checked(true);
         return;
     }
+    if (now - state.restoration_failed_at < restoration_pause) {
+        on_checked(false);
+        return;
+    }
     state.waiting.push_back(std::move(on_checked));
     if (!state.restoring) {
         restore_contact(group);
@@ -297,6 +303,8 @@
     const bool holds = proved && asked.primary.term > 0 && state.primary == asked.primary;
     if (holds) {
         state.contact.restore(proved_at);
+    } else {
+        state.restoration_failed_at = event_loop::now();
     }
     for (const auto& on_checked : std::exchange(state.served, {})) {
         on_checked(holds);
@@ -356,7 +364,7 @@
     const std::vector<std::string> replicas = confirming_replicas(group, instance);
     const auto unanswered = std::make_shared<std::size_t>(replicas.size());
     if (replicas.empty()) {
-        finish_commit_round(group, instance);
+        finish_commit_round(group);
         return;
     }
     for (const auto& replica : replicas) {
@@ -382,18 +390,20 @@
                              }
                          }
                          if (--*unanswered == 0) {
-                             finish_commit_round(group, instance);
+                             finish_commit_round(group);
                          }
                      });
     }
 }
 
-void upstream_router::finish_commit_round(const std::string& group, const std::string& instance) {
+void upstream_router::finish_commit_round(const std::string& group) {
     commit_round& round = m_commit_rounds[group];
     const time_point now = event_loop::now();
+    const auto primary = m_directory.primary(group);
     std::vector<commit_request> expired;
     std::erase_if(round.waiting, [&](commit_request& request) {
-        const bool late = request.deadline <= now;
+        const bool superseded = !primary || primary->term != request.position.term;
+        const bool late = superseded || request.deadline <= now;
         if (late) {
             expired.push_back(std::move(request));
         }
@@ -401,8 +411,9 @@
     });
     round.running = !round.waiting.empty();
     if (round.running) {
-        round.delay = m_loop.after(
-            commit_round_pause, [this, group, instance] { start_commit_round(group, instance); });
+        round.delay = m_loop.after(commit_round_pause, [this, group, instance = primary->instance] {
+            start_commit_round(group, instance);
+        });
     }
     for (const auto& request : expired) {
         request.on_confirmed(false);
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -169,6 +169,7 @@
         /// When a check was last requested; contact is kept for a while afterwards.
         time_point used_at{};
         bool restoring = false;
+        time_point restoration_failed_at{};
         /// Checks that the running restoration serves, and those that came too late for it.
         std::vector<std::function<void(bool)>> served;
         std::vector<std::function<void(bool)>> waiting;
@@ -211,7 +212,7 @@
     bool commits_need_confirmation(const std::string& group, const std::string& instance,
                                    duration took);
     void start_commit_round(const std::string& group, const std::string& instance);
-    void finish_commit_round(const std::string& group, const std::string& instance);
+    void finish_commit_round(const std::string& group);
     std::string find_gateway(const upstream_instance& instance, bool unreachable_here) const;
     void run_position_round(const std::string& group);
     void verify_position(const std::string& group, verified_position_handler on_position);
--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -24,6 +24,7 @@
         return !written.empty() && written.back().finished && !written.back().successor.empty();
     }
     std::function<void()> on_refresh = [] {};
+    std::function<void()> on_written = [] {};
     std::unique_ptr<failover_service> service;
 
     failover_fixture() {
@@ -47,6 +48,7 @@
             written.push_back(claim);
             written_at.push_back(event_loop::now());
             stored = {true, stored.revision + 1, claim};
+            on_written();
             co_return stored;
         };
         platform.promote = [this](std::string, std::string instance,
@@ -86,6 +88,17 @@
         REQUIRE(test.host.run_until([&] { return !test.promoted.empty(); }));
         REQUIRE(test.written.back() == failover_claim{2, "host", "r", false, 2});
     }
+    SECTION("promotes nobody if a paused replica starts again and receives before the promotion") {
+        test.on_written = [&] {
+            if (test.written.back().successor == "r") {
+                test.host.reports["r"] = {replication_role::replica, 1, {1, 28}, 0};
+            }
+        };
+        test.service->start();
+        REQUIRE(test.host.run_until([&] { return test.written.size() >= 3; }));
+        REQUIRE(test.promoted.empty());
+        REQUIRE(test.written[2] == failover_claim{2, "host", "", true, 0});
+    }
     SECTION("does not take a successor that it never saw lead for newer than the next primary") {
         test.host.directory.upsert_instance(model::listed_instance("s", false));
         test.host.reports["s"] = make_status(replication_role::replica, 1);
