--- a/include/bronzeplank/demand_share.hpp
+++ b/include/bronzeplank/demand_share.hpp
@@ -46,14 +46,10 @@
     /// Records one operation of demand and takes a token for it; false when there is none left.
     bool admit(time_point now, double rate_per_second, double burst);
 
-    /// Returns the token of an admitted operation that has not run and never will.
-    void give_back();
-
     /// This host's demand, admitted or refused, in operations a second.
     double demand(time_point now) const;
 
-    /// Operations that this host has admitted since it started, without those given back. Never
-    /// decreases: what is given back offsets later operations.
+    /// Operations that this host has admitted since it started.
     std::uint64_t admitted() const { return m_admitted; }
 
     /// This host's share of the tokens, from 0 to 1.
@@ -94,8 +90,6 @@
     double m_carried_over = 0;
     double m_admitted_since_exchange = 0;
     std::uint64_t m_admitted = 0;
-    /// Tokens given back that `m_admitted` still counts.
-    std::uint64_t m_given_back = 0;
 };
 
 } // namespace bronzeplank
--- a/src/core/demand_share.cpp
+++ b/src/core/demand_share.cpp
@@ -141,17 +141,8 @@
         return false;
     }
     m_admitted_since_exchange += 1.0;
-    if (m_given_back > 0) {
-        --m_given_back;
-    } else {
-        ++m_admitted;
-    }
+    ++m_admitted;
     return true;
 }
 
-void demand_share::give_back() {
-    m_admitted_since_exchange -= 1.0;
-    ++m_given_back;
-}
-
 } // namespace bronzeplank
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -241,7 +241,6 @@
         complete_statement(answer);
         return;
     }
-    m_pending.may_have_run |= !guarantees_not_run(answer.result);
     const bool first = m_pending.opens_transaction || m_state == session_state::idle;
     const bool reads = m_operation.read_only;
     const bool may_repeat =
@@ -296,10 +295,6 @@
     const std::string reason(to_string(result));
     record_outcome(reason);
     const bool may_have_run = !guarantees_not_run(result);
-    const bool first = m_pending.opens_transaction || !in_transaction;
-    if (first && !m_pending.may_have_run) {
-        m_service.give_back(m_operation.workspace);
-    }
     // A transaction without writes changes no data, whatever the outcome of its commit.
     const bool changes_data = in_transaction ? commits && m_operation.has_written : may_write();
     if (may_have_run && changes_data) {
@@ -325,6 +320,7 @@
         abort_transaction();
         // A commit ends its transaction even if the commit fails.
         m_state = commits ? session_state::idle : session_state::failed;
+        const bool first = m_pending.opens_transaction;
         fail(first && !may_have_run ? error_for(result) : error_kind::transaction_aborted, reason);
         return;
     }
--- a/src/session/caller_session.hpp
+++ b/src/session/caller_session.hpp
@@ -79,8 +79,6 @@
         int attempts = 0;
         std::set<std::string> excluded;
         bool opens_transaction = false;
-        /// Whether one of the attempts may have run.
-        bool may_have_run = false;
     };
 
     void start_operation(bool read_only);
--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -96,13 +96,6 @@
     return admitted;
 }
 
-void session_service::give_back(const std::string& workspace) {
-    const auto share = m_shares.find(workspace);
-    if (share != m_shares.end()) {
-        share->second.give_back();
-    }
-}
-
 // Logs one line for all workspaces, since a workspace over its rate limit may be refused hundreds
 // of times per second.
 void session_service::log_rate_limited(time_point now) {
--- a/src/session/session_service.hpp
+++ b/src/session/session_service.hpp
@@ -66,8 +66,6 @@
 
     /// Charges one operation to the workspace's rate limit; false if the limit is exceeded.
     bool admit(const std::string& workspace);
-    /// Takes back the charge for an admitted operation that has not run and never will.
-    void give_back(const std::string& workspace);
 
     /// Chooses an instance for a read that may run on replicas; nothing if none is usable. Without
     /// a recent verified position, this is the primary with a leadership check.
--- a/test/demand_share_test.cpp
+++ b/test/demand_share_test.cpp
@@ -366,40 +366,6 @@
     REQUIRE(admitted <= 60);
 }
 
-TEST_CASE("tokens of operations that never ran") {
-    demand_share share;
-    int admitted = 0;
-    const auto admit_all = [&] {
-        while (share.admit(start, 30, 30)) {
-            ++admitted;
-        }
-    };
-    admit_all();
-    REQUIRE(admitted == 30);
-    SECTION("serve as many others") {
-        for (int i = 0; i < 10; ++i) {
-            share.give_back();
-        }
-        admit_all();
-        REQUIRE(admitted == 40);
-        SECTION("and the reported count covers those that ran") {
-            REQUIRE(share.admitted() == 30);
-        }
-    }
-    SECTION("never add up to more than the burst") {
-        for (int i = 0; i < 30; ++i) {
-            share.give_back();
-        }
-        share.exchange(start + std::chrono::seconds(9), {}, 1);
-        share.exchange(start + std::chrono::seconds(9), {}, 1);
-        int later = 0;
-        while (share.admit(start + std::chrono::seconds(9), 30, 30)) {
-            ++later;
-        }
-        REQUIRE(later <= 32);
-    }
-}
-
 TEST_CASE("no five-second window admits more than the rate, the burst and the tolerance") {
     // The platform's tolerance: ten percent of the total and twenty operations.
     static constexpr double rate = 60;
--- a/test/session/caller_session_test.cpp
+++ b/test/session/caller_session_test.cpp
@@ -324,24 +324,3 @@
     INFO(admitted << " admitted; a fifth of the burst is 20");
     REQUIRE(admitted <= 25);
 }
-
-TEST_CASE("operations that no upstream ran use up the workspace's rate") {
-    session_fixture test("own");
-    const auto refused_if_all = [&](upstream_result result) {
-        int refused = 0;
-        for (int i = 0; i < 150; ++i) {
-            test.submit(make(statement_kind::write));
-            while (!test.host.sent.empty()) {
-                test.host.answer(result);
-            }
-            refused += test.last().error == error_kind::rate_limited ? 1 : 0;
-        }
-        return refused;
-    };
-    SECTION("not when it is certain that they will never run") {
-        REQUIRE(refused_if_all(upstream_result::overloaded) == 0);
-    }
-    SECTION("but do when they may have run") {
-        REQUIRE(refused_if_all(upstream_result::unanswered) >= 40);
-    }
-}
