--- a/test/platform/directory_follower_test.cpp
+++ b/test/platform/directory_follower_test.cpp
@@ -41,6 +41,16 @@
         store.write("servers", "i", instance_spec("ready"));
     }
 
+    void change_all_kinds() {
+        store.write("config", "main", configuration_spec(2));
+        store.write("servers", "i", instance_spec("draining"));
+        store.write("evacuations", "b", "{}");
+    }
+    bool knows_all_changes() const {
+        return directory.configuration()->version == 2 && directory.instance("i")->leaving &&
+               directory.withdrawn_domains().contains("b");
+    }
+
     // Runs the loop until the condition holds, or the time is over.
     template <class Condition>
     bool until(Condition condition, duration time = stability_window + configuration_apply_time) {
@@ -146,17 +156,9 @@
             "the watches of the outage time out") {
         // The followers of all kinds try again and get no answer.
         test.run_for(milliseconds(1500));
-        test.store.write("config", "main", configuration_spec(2));
-        test.store.write("servers", "i", instance_spec("draining"));
-        test.store.write("evacuations", "b", "{}");
+        test.change_all_kinds();
         test.store.failure = store_stub::failure_mode::none;
-        REQUIRE(test.until(
-            [&] {
-                return test.directory.configuration()->version == 2 &&
-                       test.directory.instance("i")->leaving &&
-                       test.directory.withdrawn_domains().contains("b");
-            },
-            stability_window));
+        REQUIRE(test.until([&] { return test.knows_all_changes(); }, stability_window));
         REQUIRE(test.client.reachable());
     }
     SECTION("an instance whose entry has expired is kept if the entry returns within the grace") {
@@ -198,17 +200,9 @@
             co_await client.get(kind, name);
         }(test.client, kind, name));
         REQUIRE(test.until([&] { return !test.client.reachable(); }));
-        test.store.write("config", "main", configuration_spec(2));
-        test.store.write("servers", "i", instance_spec("draining"));
-        test.store.write("evacuations", "b", "{}");
+        test.change_all_kinds();
         test.store.failure = store_stub::failure_mode::none;
-        REQUIRE(test.until(
-            [&] {
-                return test.directory.configuration()->version == 2 &&
-                       test.directory.instance("i")->leaving &&
-                       test.directory.withdrawn_domains().contains("b");
-            },
-            stability_window));
+        REQUIRE(test.until([&] { return test.knows_all_changes(); }, stability_window));
     }
 }
 
