--- a/src/edge/http_exchange.cpp
+++ b/src/edge/http_exchange.cpp
@@ -22,8 +22,14 @@
     return EVHTTP_REQ_GET;
 }
 
+std::string header_of(evhttp_request* request, const std::string& name) {
+    const char* value = evhttp_find_header(evhttp_request_get_input_headers(request), name.c_str());
+    return value == nullptr ? "" : value;
+}
+
 struct pending_reply {
     oneshot<http_reply> done;
+    std::string reply_header;
     bool ended = false;
 
     // The argument is a pointer to a shared pointer: the reply is shared with run_exchange().
@@ -38,11 +44,10 @@
         }
         evbuffer* input = evhttp_request_get_input_buffer(request);
         http_reply reply{evhttp_request_get_response_code(request),
-                         std::string(evbuffer_get_length(input), '\0'), ""};
+                         std::string(evbuffer_get_length(input), '\0'),
+                         header_of(request, "Bronzeplank-Session"),
+                         header_of(request, self->reply_header)};
         evbuffer_copyout(input, reply.body.data(), reply.body.size());
-        const char* session =
-            evhttp_find_header(evhttp_request_get_input_headers(request), "Bronzeplank-Session");
-        reply.session = session == nullptr ? "" : session;
         self->done.set(std::move(reply));
     }
 };
@@ -60,7 +65,7 @@
     const timeval timeout_value{static_cast<time_t>(timeout.count() / 1'000'000),
                                 static_cast<suseconds_t>(timeout.count() % 1'000'000)};
     evhttp_connection_set_timeout_tv(connection, &timeout_value);
-    const auto pending = std::make_shared<pending_reply>(pending_reply{done});
+    const auto pending = std::make_shared<pending_reply>(pending_reply{done, request.reply_header});
     auto* const argument = new std::shared_ptr<pending_reply>(pending);
     evhttp_request* raw_request = evhttp_request_new(&pending_reply::on_answer, argument);
     evkeyvalq* headers = evhttp_request_get_output_headers(raw_request);
--- a/src/edge/http_exchange.hpp
+++ b/src/edge/http_exchange.hpp
@@ -17,6 +17,8 @@
     int status = 0;
     std::string body;
     std::string session;
+    /// The header that the request asked for; empty if the reply has none.
+    std::string header;
 };
 
 enum class http_method { get, put, post };
@@ -27,6 +29,8 @@
     std::string path;
     std::map<std::string, std::string> headers;
     std::string body;
+    /// The name of a header that the reply is to contain.
+    std::string reply_header{};
     /// Closes the connection when the peer acknowledges nothing for this long; 0 keeps the defaults
     /// of the system.
     duration dead_peer_timeout{};
--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -20,6 +20,7 @@
     platform_unreachable = 1201,
     platform_reachable = 1202,
     object_unreadable = 1203,
+    platform_restored = 1204,
     primary_suspected = 1301,
     promotion_started = 1302,
     promotion_finished = 1303,
