--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -329,7 +329,8 @@
     attempt.promoted_term = present.claim.promoted_term;
     const failover_claim wanted{attempt.term, m_router.host(), "", false, attempt.promoted_term};
     const stored_claim written = co_await m_platform.write(attempt.group, present.revision, wanted);
-    attempt.token = written.revision;
+    attempt.claim_revision = written.revision;
+    attempt.token = written.fencing_token();
     co_return written.succeeded;
 }
 
@@ -437,9 +438,11 @@
 task<bool> failover_service::store_successor(failover_attempt& attempt, std::string successor,
                                              std::uint64_t term) {
     const failover_claim wanted{attempt.term, m_router.host(), successor, false, term};
-    const stored_claim written = co_await m_platform.write(attempt.group, attempt.token, wanted);
+    const stored_claim written =
+        co_await m_platform.write(attempt.group, attempt.claim_revision, wanted);
     if (written.succeeded) {
-        attempt.token = written.revision;
+        attempt.claim_revision = written.revision;
+        attempt.token = written.fencing_token();
         attempt.promoted_term = term;
     }
     co_return written.succeeded;
@@ -618,7 +621,7 @@
     co_await wait_for_resumes(attempt);
     const failover_claim done{attempt.leading_term, m_router.host(), successor, true,
                               attempt.leading_term};
-    co_await m_platform.write(attempt.group, attempt.token, done);
+    co_await m_platform.write(attempt.group, attempt.claim_revision, done);
 }
 
 // Ends an attempt that has sent no promotion request. The next claim then need not wait for this
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -22,6 +22,9 @@
     /// 0 if no claim is stored.
     std::uint64_t revision = 0;
     failover_claim claim;
+
+    /// Marks the commands of the claim that was written; newer claims have higher tokens.
+    std::uint64_t fencing_token() const { return revision; }
 };
 
 /// The platform's response to a promotion request.
@@ -128,6 +131,8 @@
         /// The newest term that may have been promoted before this attempt, and as stored now.
         std::uint64_t promoted_before = 0;
         std::uint64_t promoted_term = 0;
+        /// The claim's revision after its last write.
+        std::uint64_t claim_revision = 0;
         std::uint64_t token = 0;
         time_point lease_end;
         /// When the instances were last read anew.
