--- a/test/platform/store_stub.hpp
+++ b/test/platform/store_stub.hpp
@@ -1,6 +1,7 @@
 /// \file
 /// A stub of the platform's object store as its documentation describes it: lists, watches,
-/// conditional writes and injected failures. It runs in the event loop of the test.
+/// conditional writes, injected failures and restorations from older copies. It runs in the event
+/// loop of the test.
 #pragma once
 
 #include "bronzeplank/internal/json_reader.hpp"
@@ -48,6 +49,16 @@
 
     static endpoint address() { return {"127.0.0.1", port}; }
 
+    struct object {
+        std::uint64_t revision = 0;
+        std::string spec;
+    };
+    struct change {
+        std::uint64_t revision = 0;
+        std::string kind;
+        std::string event;
+    };
+
     void write(const std::string& kind, const std::string& name, const std::string& spec) {
         m_objects[kind][name] = {++m_revision, spec};
         record_change(kind, name, false);
@@ -57,6 +68,28 @@
         m_objects[kind].erase(name);
         record_change(kind, name, true);
     }
+    /// The contents at a moment, from which the store can be restored.
+    class copy {
+        friend class store_stub;
+        std::map<std::string, std::map<std::string, object>> m_objects;
+        std::vector<change> m_changes;
+        std::uint64_t m_revision = 0;
+    };
+    copy take_copy() const {
+        copy taken;
+        taken.m_objects = m_objects;
+        taken.m_changes = m_changes;
+        taken.m_revision = m_revision;
+        return taken;
+    }
+    /// Begins the next era with the contents of the copy. Revisions continue from the copy's.
+    void restore(const copy& from) {
+        end_watches();
+        m_objects = from.m_objects;
+        m_changes = from.m_changes;
+        m_revision = from.m_revision;
+        ++m_era;
+    }
     /// Makes watches from an earlier revision be answered with 410.
     void discard_history() {
         m_oldest_revision = m_revision + 1;
@@ -65,7 +98,7 @@
     /// Ends the pending watches with an error.
     void end_watches() {
         for (const auto& watch : std::exchange(m_watches, {})) {
-            evhttp_send_error(watch.request, 503, nullptr);
+            answer(watch.request, 503, "");
         }
     }
 
@@ -87,15 +120,6 @@
     }
 
 private:
-    struct object {
-        std::uint64_t revision = 0;
-        std::string spec;
-    };
-    struct change {
-        std::uint64_t revision = 0;
-        std::string kind;
-        std::string event;
-    };
     struct watch {
         evhttp_request* request = nullptr;
         std::string kind;
@@ -122,7 +146,9 @@
         }
     }
 
-    static void answer(evhttp_request* request, int status, const std::string& body) {
+    void answer(evhttp_request* request, int status, const std::string& body) const {
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era",
+                          std::to_string(m_era).c_str());
         evbuffer* buffer = evbuffer_new();
         evbuffer_add(buffer, body.data(), body.size());
         evhttp_send_reply(request, status, nullptr, buffer);
@@ -130,7 +156,7 @@
     }
 
     void answer_watch(const watch& waiting) {
-        if (waiting.from + 1 < m_oldest_revision) {
+        if (waiting.from + 1 < m_oldest_revision || waiting.from > m_revision) {
             answer(waiting.request, 410, "{}");
             return;
         }
@@ -223,7 +249,7 @@
     void serve(evhttp_request* request) {
         ++calls;
         if (failure == failure_mode::unavailable) {
-            evhttp_send_error(request, 503, nullptr);
+            answer(request, 503, "");
             return;
         }
         if (failure == failure_mode::silent) {
@@ -272,6 +298,7 @@
     std::vector<change> m_changes;
     std::vector<watch> m_watches;
     std::uint64_t m_revision = 100;
+    std::uint64_t m_era = 1;
     std::uint64_t m_oldest_revision = 0;
 };
 
