--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -314,8 +314,8 @@
     const fleet_peer* newest = nullptr;
     for (const fleet_peer* peer : live_peers(now)) {
         const bool newer = peer->configuration_version > own.configuration_version ||
-                           (platform_unreachable && peer->list_revision > own.list_revision);
-        if (newer && (newest == nullptr || peer->list_revision > newest->list_revision)) {
+                           (platform_unreachable && peer->list_position > own.list_position);
+        if (newer && (newest == nullptr || peer->list_position > newest->list_position)) {
             newest = peer;
         }
     }
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -51,7 +51,7 @@
     std::string address;
     std::uint32_t incarnation = 0;
     std::uint64_t configuration_version = 0;
-    std::uint64_t list_revision = 0;
+    store_position list_position;
     bool leaving = false;
     time_point last_received;
     /// The peer is considered dead after this long without a message.
--- a/src/session/fleet_directory.hpp
+++ b/src/session/fleet_directory.hpp
@@ -4,6 +4,7 @@
 
 #include "bronzeplank/fleet_configuration.hpp"
 #include "bronzeplank/primary_tracker.hpp"
+#include "bronzeplank/store_position.hpp"
 
 #include <functional>
 #include <map>
@@ -27,7 +28,7 @@
     std::uint64_t configuration_version = 0;
     /// The unparsed configuration document.
     std::string configuration_text;
-    std::uint64_t list_revision = 0;
+    store_position list_position;
     upstream_list instances;
     std::set<std::string> withdrawn_domains;
     bool operator==(const directory_snapshot&) const = default;
--- a/src/session/fleet_heartbeats.cpp
+++ b/src/session/fleet_heartbeats.cpp
@@ -57,7 +57,7 @@
     peer.marked_alive = true;
     peer.leaving = heartbeat.leaving();
     peer.configuration_version = heartbeat.configuration_version();
-    peer.list_revision = heartbeat.list_revision();
+    peer.list_position = {heartbeat.list_era(), heartbeat.list_revision()};
     peer.record_contact(event_loop::now());
     const duration sender_interval = std::chrono::milliseconds(heartbeat.period_ms());
     peer.timeout =
@@ -143,7 +143,8 @@
     heartbeat->set_period_ms(static_cast<std::uint32_t>(to_milliseconds(heartbeat_interval())));
     const directory_snapshot own = m_callbacks.snapshot_directory(false);
     heartbeat->set_configuration_version(own.configuration_version);
-    heartbeat->set_list_revision(own.list_revision);
+    heartbeat->set_list_era(own.list_position.era);
+    heartbeat->set_list_revision(own.list_position.revision);
     heartbeat->set_whole(full);
     for (const auto& [instance, state] : m_callbacks.pools()) {
         const auto failing_percent = static_cast<std::uint32_t>(state.failure_rate * 100);
--- a/src/session/fleet_messages.cpp
+++ b/src/session/fleet_messages.cpp
@@ -143,7 +143,8 @@
 void write_directory(const directory_snapshot& snapshot, wire::directory_snapshot& target) {
     target.set_configuration_version(snapshot.configuration_version);
     target.set_configuration(snapshot.configuration_text);
-    target.set_list_revision(snapshot.list_revision);
+    target.set_list_era(snapshot.list_position.era);
+    target.set_list_revision(snapshot.list_position.revision);
     for (const auto& [id, instance] : snapshot.instances) {
         auto* added = target.add_instances();
         added->set_id(id);
@@ -165,7 +166,7 @@
     directory_snapshot snapshot;
     snapshot.configuration_version = message.configuration_version();
     snapshot.configuration_text = message.configuration();
-    snapshot.list_revision = message.list_revision();
+    snapshot.list_position = {message.list_era(), message.list_revision()};
     for (const auto& listed : message.instances()) {
         snapshot.instances[listed.id()] = read_instance(listed);
     }
--- a/test/platform/directory_follower_test.cpp
+++ b/test/platform/directory_follower_test.cpp
@@ -169,12 +169,12 @@
         test.store.write("servers", "i", instance_spec("ready"));
         const std::uint64_t rewritten_at = test.store.revision();
         REQUIRE(test.until(
-            [&] { return test.follower.snapshot(false).list_revision >= rewritten_at; }));
+            [&] { return test.follower.snapshot(false).list_position.revision >= rewritten_at; }));
         test.directory.remove_expired(event_loop::now() + fleet_directory::expiry_grace);
         REQUIRE(test.directory.instance("i") != nullptr);
     }
     SECTION("newer data of a peer is accepted, but never an older configuration") {
-        directory_snapshot snapshot{5, configuration_spec(5), 1000, {}, {"c"}};
+        directory_snapshot snapshot{5, configuration_spec(5), {1, 1000}, {}, {"c"}};
         test.follower.accept(snapshot);
         REQUIRE(test.directory.workspace_for_key("k5") == "t");
         REQUIRE(test.directory.withdrawn_domains().contains("c"));
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -189,10 +189,18 @@
         REQUIRE(second->ended_transactions.front() == transaction_key{"first", 6});
     }
     SECTION("send the directory to a host that has lost the platform") {
-        first.local_directory = {7, "{}", 30, {}, {"b"}};
+        first.local_directory = {7, "{}", {2, 30}, {}, {"b"}};
         REQUIRE(run_until(loop, [&] { return !second->accepted_directories.empty(); }));
         REQUIRE(second->accepted_directories.front() == first.local_directory);
     }
+    SECTION("send a list of the store's later era to a host that has a higher revision of an "
+            "earlier one") {
+        second->local_directory = {7, "{}", {1, 30}, {}, {"c"}};
+        first.local_directory = {7, "{}", {2, 20}, {}, {"b"}};
+        REQUIRE(run_until(loop, [&] { return !second->accepted_directories.empty(); }));
+        REQUIRE(second->accepted_directories.front() == first.local_directory);
+        REQUIRE(first.accepted_directories.empty());
+    }
     SECTION("count each other as presumed hosts, even after one has died") {
         REQUIRE(first.peers->presumed_host_count(event_loop::now()) == 2);
         second.reset();
