--- a/include/bronzeplank/fleet_configuration.hpp
+++ b/include/bronzeplank/fleet_configuration.hpp
@@ -82,6 +82,8 @@
     bool says_primary = false;
     /// The time of its start, in Unix milliseconds.
     std::int64_t born_ms = 0;
+    /// Rises with each entry that the instance writes after a start; 0 if it is not known.
+    std::uint64_t sequence = 0;
     bool operator==(const upstream_instance&) const = default;
 };
 
--- a/include/bronzeplank/store_position.hpp
+++ b/include/bronzeplank/store_position.hpp
@@ -7,9 +7,9 @@
 
 namespace bronzeplank {
 
-/// A position in the history of the platform's store. An era ends when the store is restored from an
-/// older copy; its revisions go back then, and are given out again for other changes. So a revision
-/// is an identity and an order only together with its era.
+/// A position in the history of the platform's store. An era ends when the store is restored from
+/// an older copy; its revisions go back then, and are given out again for other changes. So a
+/// revision is an identity and an order only together with its era.
 ///
 /// Usage: `if (received > known) ...`
 struct store_position {
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -52,6 +52,7 @@
     log_event_row{log_event::upstream_listed, "upstream_listed", "info"},
     log_event_row{log_event::upstream_gone, "upstream_gone", "info"},
     log_event_row{log_event::entry_unreadable, "entry_unreadable", "warning"},
+    log_event_row{log_event::entry_outdated, "entry_outdated", "info"},
     log_event_row{log_event::workspaces_limited, "workspaces_limited", "info"},
     log_event_row{log_event::process_suspended, "process_suspended", "warning"},
     log_event_row{log_event::settings_read, "settings_read", "info"},
--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -47,6 +47,7 @@
     upstream_listed = 1804,
     upstream_gone = 1805,
     entry_unreadable = 1806,
+    entry_outdated = 1807,
     workspaces_limited = 1901,
     process_suspended = 2001,
     settings_read = 2002,
--- a/src/session/fleet_directory.cpp
+++ b/src/session/fleet_directory.cpp
@@ -28,7 +28,14 @@
 
 void fleet_directory::upsert_instance(const upstream_instance& instance) {
     m_missing.erase(instance.id);
+    if (m_entries.is_outdated(instance)) {
+        log(log_event::entry_outdated,
+            {{"instance", instance.id}, {"sequence", std::to_string(instance.sequence)}});
+        return;
+    }
+    m_entries.record(instance);
     upstream_instance& known = m_instances[instance.id];
+    known.sequence = instance.sequence;
     if (known == instance) {
         return;
     }
@@ -65,8 +72,10 @@
     for (const auto& id : m_missing) {
         log(log_event::upstream_gone, {{"instance", id}});
         erase_instance(id);
+        m_entries.record_unlisted(id, now);
     }
     m_missing.clear();
+    m_entries.prune(now);
 }
 
 void fleet_directory::erase_instance(const std::string& id) {
--- a/src/session/fleet_directory.hpp
+++ b/src/session/fleet_directory.hpp
@@ -2,6 +2,7 @@
 /// A host's view of the deployment: the configuration, the instances and the other hosts.
 #pragma once
 
+#include "bronzeplank/entry_history.hpp"
 #include "bronzeplank/fleet_configuration.hpp"
 #include "bronzeplank/primary_tracker.hpp"
 #include "bronzeplank/store_position.hpp"
@@ -37,7 +38,8 @@
 /// Holds the latest configuration, instance list and host list, as read from the platform or
 /// received from a peer. Guarantees that the configuration version never decreases during the
 /// process's lifetime, and that an instance that is missing from the list after a platform outage
-/// is kept until `expiry_grace` is over.
+/// is kept until `expiry_grace` is over. An entry that is older than one applied before changes
+/// nothing.
 ///
 /// Usage: `directory.apply_instance_list(listed, now);`
 /// `if (const auto primary = directory.primary(group)) ...`
@@ -106,6 +108,7 @@
     /// The same instances by group: statements are routed within one group.
     std::map<std::string, upstream_list, std::less<>> m_members;
     std::set<std::string> m_missing;
+    entry_history m_entries;
     time_point m_caught_up_at{};
     time_point m_expiry_grace_ends{};
     std::set<std::string> m_withdrawn_domains;
--- a/src/session/fleet_messages.cpp
+++ b/src/session/fleet_messages.cpp
@@ -32,7 +32,8 @@
             message.slots(),
             message.leaving(),
             message.says_primary(),
-            message.born_ms()};
+            message.born_ms(),
+            message.sequence()};
 }
 
 } // namespace
@@ -156,6 +157,7 @@
         added->set_leaving(instance.leaving);
         added->set_says_primary(instance.says_primary);
         added->set_born_ms(instance.born_ms);
+        added->set_sequence(instance.sequence);
     }
     for (const auto& domain : snapshot.withdrawn_domains) {
         target.add_withdrawn_domains(domain);
