--- a/include/bronzeplank/failover.hpp
+++ b/include/bronzeplank/failover.hpp
@@ -94,8 +94,8 @@
 
 /// A group's claim as stored on the platform: the claimed term, its holder, and whether the
 /// failover is finished; then the term is the one that the successor leads. The successor is stored
-/// before its promotion is requested. The platform's revision of the claim serves as its fencing
-/// token.
+/// before its promotion is requested. The claim's position in the platform's store serves as its
+/// fencing token.
 struct failover_claim {
     std::uint64_t term = 0;
     std::string holder;
@@ -103,6 +103,12 @@
     bool finished = true;
     /// The newest term whose promotion may have been requested, by this claim or an earlier one.
     std::uint64_t promoted_term = 0;
+    /// The era of the platform's store in which the claim was written; of a later one, it says
+    /// nothing about who acts now.
+    std::uint64_t era = 0;
+    /// Whether `promoted_term` covers the promotions of earlier eras as well, whose claims may be
+    /// lost.
+    bool complete = true;
     bool operator==(const failover_claim&) const = default;
 };
 
--- a/include/bronzeplank/internal/json_reader.hpp
+++ b/include/bronzeplank/internal/json_reader.hpp
@@ -58,6 +58,7 @@
     std::int64_t integer_or(const std::string& name, std::int64_t fallback, std::int64_t minimum,
                             std::int64_t maximum);
     std::string text_or(const std::string& name, const std::string& fallback);
+    bool boolean_or(const std::string& name, bool fallback);
     void finish() const;
 
 private:
--- a/include/bronzeplank/store_position.hpp
+++ b/include/bronzeplank/store_position.hpp
@@ -2,6 +2,8 @@
 /// A position in the history of the platform's store.
 #pragma once
 
+#include "bronzeplank/time.hpp"
+
 #include <compare>
 #include <cstdint>
 
@@ -24,4 +26,11 @@
     std::uint64_t fencing_token() const;
 };
 
+/// The latest era that a host has seen, and since when.
+struct store_era {
+    /// 0 if the store reports none.
+    std::uint64_t number = 0;
+    time_point seen_at{};
+};
+
 } // namespace bronzeplank
--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -134,6 +134,11 @@
     return node ? node->text() : fallback;
 }
 
+bool json_object::boolean_or(const std::string& name, bool fallback) {
+    const auto node = optional(name);
+    return node ? node->boolean() : fallback;
+}
+
 void json_object::finish() const {
     for (const auto& member : m_node.value().GetObject()) {
         const std::string name = member.name.GetString();
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -27,6 +27,9 @@
 // A command without an answer may still arrive within this time.
 constexpr std::chrono::milliseconds command_lifetime{1000};
 static_assert(claim_lease + command_lifetime <= claim_timeout);
+// Promotions that claims of an earlier era have requested have taken effect by this age of the era.
+constexpr duration settled_era_age = claim_timeout + promotion_timeout / 2;
+constexpr std::chrono::milliseconds renewal_retry_interval{1000};
 
 // Whether the old primary itself answers, so that it can be demoted.
 bool primary_answers(failover_reason reason) {
@@ -61,7 +64,7 @@
     if (m_platform.reachable()) {
         const stored_claim stored = co_await m_platform.read(group);
         const bool unreadable = stored.position.revision > 0 && stored.claim.term == 0;
-        if (stored.succeeded && !unreadable) {
+        if (stored.succeeded && !unreadable && stored.covers_promotions()) {
             claim = stored.claim;
         }
     }
@@ -92,6 +95,7 @@
         for (const auto& [name, group] : configuration->groups) {
             update_roster(name, now);
             evaluate_group(name, now);
+            renew_claim_if_due(name, now);
         }
     }
     m_tick = m_loop.after(evaluation_interval, [this] { tick(); });
@@ -284,6 +288,23 @@
     co_return co_await done;
 }
 
+// Whether another host may act on the group now. A claim of an earlier era comes from the copy that
+// the store was restored from, or from a late write; claims that were written since may be missing.
+bool failover_service::may_be_held(const std::string& group, const stored_claim& present,
+                                   time_point now) {
+    group_state& state = m_groups[group];
+    if (state.claim_position != present.position) {
+        state.claim_position = present.position;
+        state.claim_seen_at = now;
+    }
+    if (present.is_current() && present.claim.finished) {
+        return false;
+    }
+    const bool missing = present.position.revision == 0 && !present.is_current();
+    const time_point since = missing ? m_platform.era().seen_at : state.claim_seen_at;
+    return now - since < claim_timeout;
+}
+
 task<bool> failover_service::acquire_claim(failover_attempt& attempt) {
     // An instance that registers later is not established before this claim's lease has expired.
     if (!co_await m_platform.refresh_instances()) {
@@ -295,11 +316,7 @@
     }
     group_state& state = m_groups[attempt.group];
     const time_point now = event_loop::now();
-    if (state.claim_position != present.position) {
-        state.claim_position = present.position;
-        state.claim_seen_at = now;
-    }
-    if (!present.claim.finished && now - state.claim_seen_at < claim_timeout) {
+    if (may_be_held(attempt.group, present, now)) {
         co_return false;
     }
     // Two holders never promote within one lease, so that no command of the first comes late.
@@ -327,7 +344,10 @@
     attempt.listed_at = now;
     attempt.promoted_before = present.claim.promoted_term;
     attempt.promoted_term = present.claim.promoted_term;
-    const failover_claim wanted{attempt.term, m_router.host(), "", false, attempt.promoted_term};
+    attempt.complete = present.covers_promotions();
+    const failover_claim wanted{attempt.term,    m_router.host(),       "",
+                                false,           attempt.promoted_term, present.position.era,
+                                attempt.complete};
     const stored_claim written = co_await m_platform.write(attempt.group, present.position, wanted);
     attempt.claim_position = written.position;
     attempt.token = written.fencing_token();
@@ -437,7 +457,9 @@
 // effect.
 task<bool> failover_service::store_successor(failover_attempt& attempt, std::string successor,
                                              std::uint64_t term) {
-    const failover_claim wanted{attempt.term, m_router.host(), successor, false, term};
+    const failover_claim wanted{
+        attempt.term,    m_router.host(), successor, false, term, attempt.claim_position.era,
+        attempt.complete};
     const stored_claim written =
         co_await m_platform.write(attempt.group, attempt.claim_position, wanted);
     if (written.succeeded) {
@@ -614,13 +636,16 @@
                               attempt.leading_term,
                               [](const std::optional<replication_status>&) {});
     }
+    // The platform counts terms, so it has promoted no higher one before.
+    attempt.complete = true;
     if (attempt.leading_term != attempt.promoted_term) {
         co_await store_successor(attempt, successor, attempt.leading_term);
     }
     co_await wait_until_following(attempt, successor);
     co_await wait_for_resumes(attempt);
-    const failover_claim done{attempt.leading_term, m_router.host(), successor, true,
-                              attempt.leading_term};
+    const failover_claim done{
+        attempt.leading_term,       m_router.host(), successor, true, attempt.leading_term,
+        attempt.claim_position.era, attempt.complete};
     co_await m_platform.write(attempt.group, attempt.claim_position, done);
 }
 
@@ -631,14 +656,64 @@
     co_await wait_for_resumes(attempt);
     // The outcome of an earlier write may be unknown.
     const stored_claim present = co_await m_platform.read(attempt.group);
-    if (present.succeeded && !present.claim.finished && present.claim.term == attempt.term &&
-        present.claim.holder == m_router.host()) {
-        const failover_claim released{attempt.term, m_router.host(), "", true,
-                                      attempt.promoted_before};
+    if (present.succeeded && present.is_current() && !present.claim.finished &&
+        present.claim.term == attempt.term && present.claim.holder == m_router.host()) {
+        const failover_claim released{
+            attempt.term,         m_router.host(), "", true, attempt.promoted_before,
+            present.position.era, attempt.complete};
         co_await m_platform.write(attempt.group, present.position, released);
     }
 }
 
+// Without a claim that covers all promotions, contact with a group can't be restored while one of
+// its members is out of reach. The claim is written as soon as the members can be asked.
+void failover_service::renew_claim_if_due(const std::string& group, time_point now) {
+    group_state& state = m_groups[group];
+    const auto primary = m_directory.primary(group);
+    const upstream_instance* listed = primary ? m_directory.instance(primary->instance) : nullptr;
+    const store_era era = m_platform.era();
+    if (listed == nullptr || primary->term == 0 || era.number == state.covered_era ||
+        state.failover_running || state.renewal_running || now < state.next_renewal_at ||
+        now - era.seen_at < settled_era_age || !m_platform.reachable() ||
+        m_router.gateway_of(*listed) != m_router.host() || !m_router.can_ask_members(group)) {
+        return;
+    }
+    state.renewal_running = true;
+    spawn(renew_claim(group, *primary));
+}
+
+task<void> failover_service::renew_claim(std::string group, known_primary primary) {
+    const bool renewed = co_await write_renewed_claim(group, primary);
+    group_state& state = m_groups[group];
+    state.renewal_running = false;
+    state.next_renewal_at =
+        event_loop::now() + (renewed ? duration(0) : duration(renewal_retry_interval));
+}
+
+// The proof comes after the claim was read: a claim that is written meanwhile makes the write fail.
+task<bool> failover_service::write_renewed_claim(std::string group, known_primary primary) {
+    const stored_claim present = co_await m_platform.read(group);
+    if (!present.succeeded ||
+        (!present.covers_promotions() && may_be_held(group, present, event_loop::now()))) {
+        co_return false;
+    }
+    if (!present.covers_promotions()) {
+        const oneshot<bool> proved(m_loop);
+        m_router.prove_by_members(group, [proved](bool leads) { proved.set(leads); });
+        if (!co_await proved || m_directory.primary(group) != primary) {
+            co_return false;
+        }
+        const failover_claim renewed{
+            primary.term, "", primary.instance, true, primary.term, present.position.era, true};
+        const stored_claim written = co_await m_platform.write(group, present.position, renewed);
+        if (!written.succeeded) {
+            co_return false;
+        }
+    }
+    m_groups[group].covered_era = present.position.era;
+    co_return true;
+}
+
 task<void> failover_service::run_failover(std::string group, std::string old_primary,
                                           failover_reason reason) {
     failover_attempt attempt;
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -25,6 +25,10 @@
 
     /// Marks the commands of the claim that was written; newer claims have higher tokens.
     std::uint64_t fencing_token() const { return position.fencing_token(); }
+    /// Whether the claim was written in the era in which it was read.
+    bool is_current() const { return claim.era == position.era; }
+    /// Whether no term above the claim's `promoted_term` has been promoted.
+    bool covers_promotions() const { return is_current() && claim.complete; }
 };
 
 /// The platform's response to a promotion request.
@@ -33,6 +37,7 @@
 /// The platform operations that the service depends on.
 struct failover_platform {
     std::function<bool()> reachable;
+    std::function<store_era()> era;
     /// Reads the instances anew, so that the directory has all that are listed now. False if the
     /// platform did not answer.
     std::function<task<bool>()> refresh_instances;
@@ -56,6 +61,11 @@
 /// and demotes the old primary. If a replica doesn't answer but the old primary does, the old
 /// primary is demoted first instead.
 ///
+/// When the store has been restored from an older copy, claims may be missing from it. No group is
+/// failed over until the leases of the earlier era have expired, claims of that era prove nothing
+/// any more, and the primary's gateway writes a new one once all members have confirmed the
+/// primary.
+///
 /// Guarantees: no command that a newer claim may contradict is sent after a claim's lease has
 /// expired on the boot clock, so a holder that resumes from suspension does nothing; a replica is
 /// promoted only if the old primary can acknowledge no commit any more with any instance that may
@@ -105,6 +115,10 @@
         /// The last primary that this host promoted itself.
         known_primary promoted_here;
         bool waiting_logged = false;
+        /// The era of the newest stored claim that is known to cover all promotions.
+        std::uint64_t covered_era = 0;
+        bool renewal_running = false;
+        time_point next_renewal_at{};
     };
 
     /// Commands of one attempt that still wait for their answers, by instance.
@@ -131,6 +145,8 @@
         /// The newest term that may have been promoted before this attempt, and as stored now.
         std::uint64_t promoted_before = 0;
         std::uint64_t promoted_term = 0;
+        /// Whether `promoted_term` covers the promotions of earlier eras of the store.
+        bool complete = true;
         /// The claim's position after its last write.
         store_position claim_position;
         std::uint64_t token = 0;
@@ -152,7 +168,11 @@
                                        const std::optional<known_primary>& primary) const;
     int failover_rank(const std::string& group) const;
     task<void> run_failover(std::string group, std::string old_primary, failover_reason reason);
+    bool may_be_held(const std::string& group, const stored_claim& present, time_point now);
     task<bool> acquire_claim(failover_attempt& attempt);
+    void renew_claim_if_due(const std::string& group, time_point now);
+    task<void> renew_claim(std::string group, known_primary primary);
+    task<bool> write_renewed_claim(std::string group, known_primary primary);
     void update_roster(const std::string& group, time_point now);
     void settle_roster(const std::string& group, const std::string& primary, time_point now);
     task<void> ask_for_roster(std::string group, std::string primary);
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -225,7 +225,11 @@
     group_contact& state = contact_with(group);
     state.restoring = true;
     state.served = std::exchange(state.waiting, {});
-    const restoration next{group, state.primary, event_loop::now(), {}, {}};
+    const time_point requested_at = event_loop::now();
+    const auto finish = [this, group, primary = state.primary](bool proved, time_point proved_at) {
+        finish_restoring(group, primary, proved, proved_at);
+    };
+    const restoration next{group, state.primary, requested_at, {}, {}, false, finish};
     if (!m_sources.platform_reachable || !m_sources.platform_reachable()) {
         restore_by_members(next);
         return;
@@ -236,30 +240,49 @@
             return;
         }
         // Claims store a term before its promotion is requested.
-        finish_restoring(next, claim->promoted_term <= next.primary.term, next.requested_at);
+        next.on_finished(claim->promoted_term <= next.primary.term, next.requested_at);
     });
 }
 
-// All members answering proves it where the platform is down. A host that is cut off from most
-// others may not know all members.
-void upstream_router::restore_by_members(restoration asked) {
+// A host that is cut off from most others may not know all members.
+bool upstream_router::can_ask_members(const std::string& group) const {
     const time_point now = event_loop::now();
     const std::size_t live = m_fleet->live_peers(now).size() + 1;
-    bool all_reachable = 2 * live > m_fleet->presumed_host_count(now);
+    const std::set<std::string> members = members_of(group);
+    const auto primary = m_directory.primary(group);
+    const bool all_reachable =
+        std::all_of(members.begin(), members.end(), [&](const std::string& id) {
+            const upstream_instance* listed = m_directory.instance(id);
+            return (primary && id == primary->instance) ||
+                   (listed != nullptr && status_of(*listed).reachable);
+        });
+    return all_reachable && 2 * live > m_fleet->presumed_host_count(now);
+}
+
+void upstream_router::prove_by_members(const std::string& group,
+                                       std::function<void(bool)> on_proved) {
+    const known_primary primary = m_directory.primary(group).value_or(known_primary{});
+    const auto finish = [this, group, primary, on_proved = std::move(on_proved)](bool proved,
+                                                                                 time_point) {
+        on_proved(proved && primary.term > 0 && m_directory.primary(group) == primary);
+    };
+    restore_by_members({group, primary, event_loop::now(), {}, {}, false, finish});
+}
+
+// All members answering proves it where no claim does.
+void upstream_router::restore_by_members(restoration asked) {
+    const time_point now = event_loop::now();
     asked.requested_at = now;
     for (const auto& id : members_of(asked.group)) {
-        if (id == asked.primary.instance) {
-            continue;
+        if (id != asked.primary.instance) {
+            const bool old = established_in(asked.group).may_be_asked(id, now);
+            (old ? asked.first : asked.rest).push_back(id);
         }
-        const upstream_instance* listed = m_directory.instance(id);
-        all_reachable = all_reachable && listed != nullptr && status_of(*listed).reachable;
-        const bool old = established_in(asked.group).may_be_asked(id, now);
-        (old ? asked.first : asked.rest).push_back(id);
     }
-    if (all_reachable && !asked.first.empty()) {
+    if (can_ask_members(asked.group) && !asked.first.empty()) {
         ask_members(asked);
     } else {
-        finish_restoring(asked, false, now);
+        asked.on_finished(false, now);
     }
 }
 
@@ -289,18 +312,24 @@
         std::any_of(asked.first.begin(), asked.first.end(),
                     [&](const auto& id) { return replicas.is_established(id); });
     if (!all_confirm || (!any_established && !asked.old_confirmed)) {
-        finish_restoring(asked, false, asked.requested_at);
+        asked.on_finished(false, asked.requested_at);
     } else if (asked.rest.empty()) {
-        finish_restoring(asked, true, asked.requested_at);
+        asked.on_finished(true, asked.requested_at);
     } else {
-        ask_members({asked.group, asked.primary, asked.requested_at, asked.rest, {}, true});
+        ask_members({asked.group,
+                     asked.primary,
+                     asked.requested_at,
+                     asked.rest,
+                     {},
+                     true,
+                     asked.on_finished});
     }
 }
 
-void upstream_router::finish_restoring(const restoration& asked, bool proved,
-                                       time_point proved_at) {
-    group_contact& state = contact_with(asked.group);
-    const bool holds = proved && asked.primary.term > 0 && state.primary == asked.primary;
+void upstream_router::finish_restoring(const std::string& group, const known_primary& primary,
+                                       bool proved, time_point proved_at) {
+    group_contact& state = contact_with(group);
+    const bool holds = proved && primary.term > 0 && state.primary == primary;
     if (holds) {
         state.contact.restore(proved_at);
     } else {
@@ -315,7 +344,7 @@
             on_checked(true);
         }
     } else if (!state.waiting.empty()) {
-        restore_contact(asked.group);
+        restore_contact(group);
     }
 }
 
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -98,6 +98,14 @@
     void check_leadership(const std::string& group, const std::string& instance,
                           std::function<void(bool)> on_checked);
 
+    /// Whether prove_by_members() may succeed: all members that may run are reachable, and most
+    /// hosts are live.
+    bool can_ask_members(const std::string& group) const;
+
+    /// Proves that the group's primary led it at some time after the call, by answers of all
+    /// members.
+    void prove_by_members(const std::string& group, std::function<void(bool)> on_proved);
+
     /// Checks that the primary's commits up to `position` outlast a failover. Calls `on_confirmed`
     /// immediately unless an established replica has to be asked; with false if none has received
     /// the position in time, or the instance may have been replaced.
@@ -184,6 +192,8 @@
         std::vector<std::string> first;
         std::vector<std::string> rest;
         bool old_confirmed = false;
+        /// Receives whether the primary led the group at that time.
+        std::function<void(bool proved, time_point proved_at)> on_finished;
     };
 
     struct commit_request {
@@ -207,7 +217,8 @@
     void ask_members(const restoration& asked);
     void finish_asking(const restoration& asked, bool all_confirm);
     void restore_by_members(restoration asked);
-    void finish_restoring(const restoration& asked, bool proved, time_point proved_at);
+    void finish_restoring(const std::string& group, const known_primary& primary, bool proved,
+                          time_point proved_at);
     std::set<std::string> members_of(const std::string& group) const;
     bool commits_need_confirmation(const std::string& group, const std::string& instance,
                                    duration took);
--- a/test/platform/platform_documents_test.cpp
+++ b/test/platform/platform_documents_test.cpp
@@ -84,7 +84,7 @@
 }
 
 TEST_CASE("an encoded claim decodes to the same claim") {
-    const failover_claim claim{5, "host-\"1\"", "i-7", false, 4};
+    const failover_claim claim{5, "host-\"1\"", "i-7", false, 4, 3, false};
     REQUIRE(read_claim(write_claim(claim)) == claim);
     const auto earlier = read_claim(R"({"term":5,"holder":"h","successor":"","finished":true})");
     REQUIRE(earlier.promoted_term == 5);
--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -14,6 +14,7 @@
 struct failover_fixture {
     single_host host;
     stored_claim stored;
+    store_era era;
     std::vector<failover_claim> written;
     std::vector<std::string> promoted;
     bool promotes_immediately = true;
@@ -35,6 +36,7 @@
         host.reports.erase("p");
         failover_platform platform;
         platform.reachable = [] { return true; };
+        platform.era = [this] { return era; };
         platform.refresh_instances = [this]() -> task<bool> {
             on_refresh();
             co_return true;
@@ -408,3 +410,110 @@
         REQUIRE(test.promoted.empty());
     }
 }
+
+TEST_CASE("the platform's store has been restored, and claims may be missing") {
+    failover_fixture test;
+    const auto promoted = [&] { return !test.promoted.empty(); };
+    test.era = {2, event_loop::now() - claim_timeout};
+    test.stored = {true, {2, 0}, {}};
+
+    SECTION("a group is not failed over while a claim of the earlier era may be held") {
+        test.era.seen_at = event_loop::now();
+        test.service->start();
+        REQUIRE_FALSE(test.host.run_until(promoted));
+        REQUIRE(test.written.empty());
+        SECTION("but afterwards") {
+            REQUIRE(test.host.run_until(promoted));
+        }
+    }
+    SECTION("a group is not failed over on a claim of the earlier era that has just been seen") {
+        test.stored = {true, {2, 5}, {2, "other", "", true, 1, 1}};
+        test.service->start();
+        REQUIRE_FALSE(test.host.run_until(promoted));
+    }
+    SECTION("a claim shows all promotions only when a successor leads in this era") {
+        test.service->start();
+        REQUIRE(test.host.run_until([&] { return test.finished(); }));
+        REQUIRE(test.written == std::vector<failover_claim>{{2, "host", "", false, 0, 2, false},
+                                                            {2, "host", "r", false, 2, 2, false},
+                                                            {2, "host", "r", true, 2, 2, true}});
+    }
+    SECTION("an abandoned claim shows no more than the one before it") {
+        test.host.directory.upsert_instance(model::listed_instance("s", false));
+        test.host.reports["s"] = make_status(replication_role::replica, 1);
+        test.host.ignored_commands.insert({"s", replication_command::pause});
+        test.service->start();
+        REQUIRE(test.host.run_until([&] { return test.written.size() >= 2; }));
+        REQUIRE(test.written[1] == failover_claim{2, "host", "", true, 0, 2, false});
+    }
+    SECTION("a claim proves nothing about a primary if it is") {
+        const auto proves_anything = [&](const stored_claim& stored) {
+            test.stored = stored;
+            std::optional<failover_claim> claim;
+            test.service->make_leadership_sources().read_claim(
+                "g", [&](const std::optional<failover_claim>& read) { claim = read; });
+            return claim.has_value();
+        };
+        SECTION("missing") {
+            REQUIRE_FALSE(proves_anything({true, {2, 0}, {}}));
+        }
+        SECTION("of an earlier era") {
+            REQUIRE_FALSE(proves_anything({true, {2, 5}, {1, "other", "p", true, 1, 1}}));
+        }
+        SECTION("of this era, but based on one of an earlier era") {
+            REQUIRE_FALSE(proves_anything({true, {2, 5}, {1, "other", "", true, 1, 2, false}}));
+        }
+        SECTION("but it does if it covers all promotions") {
+            REQUIRE(proves_anything({true, {2, 5}, {1, "other", "p", true, 1, 2, true}}));
+        }
+    }
+}
+
+TEST_CASE("a primary that leads its group after the store has been restored") {
+    failover_fixture test;
+    test.host.pools["p"].reachable = true;
+    test.host.reports["p"] = make_status(replication_role::primary, 1);
+    test.era = {2, event_loop::now() - std::chrono::seconds(10)};
+    test.stored = {true, {2, 0}, {}};
+    const auto renewed = [&] { return !test.written.empty(); };
+
+    SECTION("is named by a new claim once all members have confirmed it") {
+        test.service->start();
+        REQUIRE(test.host.run_until(renewed));
+        REQUIRE(test.written.front() == failover_claim{1, "", "p", true, 1, 2, true});
+        REQUIRE_FALSE(test.host.run_until([&] { return test.written.size() > 1; }));
+    }
+    SECTION("is not named while a promotion of the earlier era may take effect") {
+        test.era.seen_at = event_loop::now() - claim_timeout;
+        test.service->start();
+        const time_point end = event_loop::now() + std::chrono::milliseconds(500);
+        test.host.run_until([&] { return event_loop::now() >= end; });
+        REQUIRE(test.written.empty());
+    }
+    SECTION("is not named if a member") {
+        SECTION("follows a newer primary") {
+            test.host.reports["r"] = make_status(replication_role::replica, 2);
+        }
+        SECTION("is paused by a newer claim") {
+            test.host.reports["r"] = make_status(replication_role::replica, 1, 2);
+        }
+        SECTION("is out of reach") {
+            test.host.pools["r"].reachable = false;
+        }
+        SECTION("doesn't answer") {
+            test.host.reports.erase("r");
+        }
+        test.service->start();
+        REQUIRE_FALSE(test.host.run_until(renewed));
+    }
+    SECTION("is not named while another host may act on a claim") {
+        test.stored = {true, {2, 5}, {2, "other", "r", false, 2, 2, false}};
+        test.service->start();
+        REQUIRE_FALSE(test.host.run_until(renewed));
+    }
+    SECTION("is not named again if the claim of this era covers all promotions") {
+        test.stored = {true, {2, 5}, {1, "other", "p", true, 1, 2, true}};
+        test.service->start();
+        REQUIRE_FALSE(test.host.run_until(renewed));
+    }
+}
