--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -64,8 +64,9 @@
     if (m_platform.reachable()) {
         const stored_claim stored = co_await m_platform.read(group);
         const bool unreadable = stored.position.revision > 0 && stored.claim.term == 0;
-        if (stored.succeeded && !unreadable && stored.covers_promotions()) {
+        if (stored.succeeded && !unreadable) {
             claim = stored.claim;
+            claim->complete = stored.covers_promotions();
         }
     }
     on_claim(claim);
@@ -693,11 +694,13 @@
 // The proof comes after the claim was read: a claim that is written meanwhile makes the write fail.
 task<bool> failover_service::write_renewed_claim(std::string group, known_primary primary) {
     const stored_claim present = co_await m_platform.read(group);
+    const bool covers = present.covers_promotions();
+    const bool newer = present.claim.promoted_term > primary.term;
     if (!present.succeeded ||
-        (!present.covers_promotions() && may_be_held(group, present, event_loop::now()))) {
+        (!covers && (newer || may_be_held(group, present, event_loop::now())))) {
         co_return false;
     }
-    if (!present.covers_promotions()) {
+    if (!covers) {
         const oneshot<bool> proved(m_loop);
         m_router.prove_by_members(group, [proved](bool leads) { proved.set(leads); });
         if (!co_await proved || m_directory.primary(group) != primary) {
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -235,12 +235,13 @@
         return;
     }
     m_sources.read_claim(group, [this, next](const std::optional<failover_claim>& claim) {
-        if (!claim) {
+        // Claims store a term before its promotion is requested.
+        const bool newer = claim && claim->promoted_term > next.primary.term;
+        if (newer || (claim && claim->complete)) {
+            next.on_finished(!newer, next.requested_at);
+        } else {
             restore_by_members(next);
-            return;
         }
-        // Claims store a term before its promotion is requested.
-        next.on_finished(claim->promoted_term <= next.primary.term, next.requested_at);
     });
 }
 
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -33,7 +33,8 @@
     /// The group's instances that may be running, listed or not.
     std::function<std::set<std::string>(const std::string& group)> members;
     std::function<bool()> platform_reachable;
-    /// Reads the group's claim; empty if the platform doesn't answer.
+    /// Reads the group's claim; empty if the platform doesn't answer. `complete` is set only if the
+    /// claim covers all promotions up to now.
     std::function<void(const std::string& group,
                        std::function<void(const std::optional<failover_claim>&)>)>
         read_claim;
--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -446,25 +446,27 @@
         REQUIRE(test.host.run_until([&] { return test.written.size() >= 2; }));
         REQUIRE(test.written[1] == failover_claim{2, "host", "", true, 0, 2, false});
     }
-    SECTION("a claim proves nothing about a primary if it is") {
-        const auto proves_anything = [&](const stored_claim& stored) {
+    SECTION("a claim doesn't cover all promotions if it is") {
+        const auto covers_all = [&](const stored_claim& stored) {
             test.stored = stored;
             std::optional<failover_claim> claim;
             test.service->make_leadership_sources().read_claim(
                 "g", [&](const std::optional<failover_claim>& read) { claim = read; });
-            return claim.has_value();
+            REQUIRE(claim);
+            REQUIRE(claim->promoted_term == stored.claim.promoted_term);
+            return claim->complete;
         };
         SECTION("missing") {
-            REQUIRE_FALSE(proves_anything({true, {2, 0}, {}}));
+            REQUIRE_FALSE(covers_all({true, {2, 0}, {}}));
         }
         SECTION("of an earlier era") {
-            REQUIRE_FALSE(proves_anything({true, {2, 5}, {1, "other", "p", true, 1, 1}}));
+            REQUIRE_FALSE(covers_all({true, {2, 5}, {1, "other", "p", true, 1, 1}}));
         }
         SECTION("of this era, but based on one of an earlier era") {
-            REQUIRE_FALSE(proves_anything({true, {2, 5}, {1, "other", "", true, 1, 2, false}}));
+            REQUIRE_FALSE(covers_all({true, {2, 5}, {1, "other", "", true, 1, 2, false}}));
         }
-        SECTION("but it does if it covers all promotions") {
-            REQUIRE(proves_anything({true, {2, 5}, {1, "other", "p", true, 1, 2, true}}));
+        SECTION("but it does if it is of this era and based on such a one") {
+            REQUIRE(covers_all({true, {2, 5}, {1, "other", "p", true, 1, 2, true}}));
         }
     }
 }
@@ -506,6 +508,12 @@
         test.service->start();
         REQUIRE_FALSE(test.host.run_until(renewed));
     }
+    SECTION("is not named if a claim of the earlier era shows that a newer term may have been "
+            "promoted") {
+        test.stored = {true, {2, 5}, {2, "other", "gone", true, 2, 1}};
+        test.service->start();
+        REQUIRE_FALSE((test.host.run_until(renewed) || test.host.run_until(renewed)));
+    }
     SECTION("is not named while another host may act on a claim") {
         test.stored = {true, {2, 5}, {2, "other", "r", false, 2, 2, false}};
         test.service->start();
--- a/test/session/upstream_router_test.cpp
+++ b/test/session/upstream_router_test.cpp
@@ -247,6 +247,18 @@
             REQUIRE_FALSE(confirmed());
         }
     }
+    SECTION("and whose claims before the platform's last restoration may be lost") {
+        members = {"p", "r"};
+        SECTION("is confirmed by all members") {
+            claim = failover_claim{2, "other", "p", true, 2, 1, false};
+            REQUIRE(confirmed());
+        }
+        SECTION(
+            "is not confirmed by them if a claim shows that a newer term may have been promoted") {
+            claim = failover_claim{3, "other", "gone", false, 3, 1, false};
+            REQUIRE_FALSE(confirmed());
+        }
+    }
     SECTION("is confirmed if no newer term was promoted, whatever was claimed") {
         claim = failover_claim{5, "other", "", false, 2};
         REQUIRE(confirmed());
