--- a/test/failover_walks_test.cpp
+++ b/test/failover_walks_test.cpp
@@ -1,45 +1,13 @@
-#include "model/failover_model.hpp"
-#include "model/run_size.hpp"
-
-#include <catch2/catch.hpp>
+#include "model/failover_walks.hpp"
 
 using namespace bronzeplank;
 using model::failover_model;
 using model::omitted_rule;
-
-namespace {
-
-// Twenty seconds in steps of 50 ms.
-constexpr int steps_per_walk = 400;
-
-struct walk_totals {
-    int lost = 0;
-    int stale = 0;
-    int promotions = 0;
-    std::size_t acknowledged = 0;
-};
-
-walk_totals walk_all(std::uint64_t walks) {
-    walk_totals totals;
-    for (std::uint64_t i = 0; i < walks; ++i) {
-        failover_model walked(model::first_seed() + i);
-        walked.run(steps_per_walk);
-        if (walked.lost() + walked.stale() > 0) {
-            UNSCOPED_INFO("seed " << model::first_seed() + i << ": lost " << walked.lost()
-                                  << ", stale " << walked.stale());
-        }
-        totals.lost += walked.lost();
-        totals.stale += walked.stale();
-        totals.promotions += walked.promotions();
-        totals.acknowledged += walked.acknowledged();
-    }
-    return totals;
-}
-
-} // namespace
+using model::store_behavior;
 
 TEST_CASE("whatever is cut, replaced or stands still, in whatever order") {
-    const walk_totals totals = walk_all(model::walk_count() / 10);
+    const model::walk_totals totals =
+        model::walk_all(model::walk_count() / 10, store_behavior::keeps_all);
 
     SECTION("no acknowledged commit is lost, and no confirmed read misses one") {
         CHECK(totals.lost == 0);
@@ -52,16 +20,8 @@
 }
 
 TEST_CASE("the walks notice") {
-    constexpr std::uint64_t max_walks = 20'000;
     const auto found = [](omitted_rule omitted, auto broken) {
-        for (std::uint64_t i = 0; i < max_walks; ++i) {
-            failover_model walked(model::first_seed() + i, {omitted});
-            walked.run(steps_per_walk);
-            if (broken(walked)) {
-                return true;
-            }
-        }
-        return false;
+        return model::any_walk_breaks(omitted, store_behavior::keeps_all, broken);
     };
     const auto loses = [](const failover_model& walked) { return walked.lost() > 0; };
     const auto misses = [](const failover_model& walked) { return walked.stale() > 0; };
--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -2,8 +2,8 @@
 /// A model of one group across three failure domains, each with a host that serves callers and may
 /// fail the group over. Any host may start a failover at any time, links are cut in one or both
 /// directions, commands are late, commits hang, instances are replaced, crash and start again, and
-/// hosts stand still. The model knows every acknowledgement and every read, and counts those that
-/// broke a promise.
+/// hosts stand still; on request the platform's store is restored from older copies. The model
+/// knows every acknowledgement and every read, and counts those that broke a promise.
 #pragma once
 
 #include "bronzeplank/established_replicas.hpp"
@@ -13,6 +13,7 @@
 #include "model/contact_tracker.hpp"
 #include "model/failover_instances.hpp"
 #include "model/failover_links.hpp"
+#include "model/restorable_store.hpp"
 
 #include <algorithm>
 #include <array>
@@ -21,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bronzeplank::model {
@@ -40,19 +42,31 @@
     /// Confirming answers count however far apart they are.
     unbroken_contact,
     /// Any answer to a PAUSE counts, also that of a former primary, which ignores the command.
-    confirm_pauses
+    confirm_pauses,
+    /// A claim that the restored store has shows all promotions.
+    cover_earlier_eras,
+    /// A group is claimed at once after a restoration, whatever claims may be missing.
+    wait_for_earlier_leases,
+    /// The claim's revision alone is the fencing token.
+    order_tokens_by_era
 };
 
 using omitted_rules = std::set<omitted_rule>;
 
+/// Whether the platform's store is restored from older copies, and executes some writes late.
+enum class store_behavior { keeps_all, is_restored };
+
 /// Usage: `failover_model model(seed, {}); model.run(steps); model.lost();`
 class failover_model {
 public:
     explicit failover_model(std::uint64_t seed, omitted_rules omitted = {},
+                            store_behavior store = store_behavior::keeps_all,
                             const wire_behavior& wire = {})
-        : m_random(seed), m_omitted(std::move(omitted)), m_group(m_random, m_links, wire, start) {
+        : m_random(seed), m_omitted(std::move(omitted)), m_store_behavior(store),
+          m_group(m_random, m_links, wire, start) {
+        m_store.run(start, m_group.listed());
         for (auto& host : m_hosts) {
-            host.listed = m_group.listed();
+            read_list(host);
             host.tracker.record_primary("i0", 1);
         }
     }
@@ -65,6 +79,7 @@
             m_now += step;
             disturb();
             m_group.run(m_now);
+            m_store.run(m_now, m_group.listed());
             for (int domain = 0; domain < domain_count; ++domain) {
                 host& own = m_hosts.at(static_cast<std::size_t>(domain));
                 if (own.frozen_until <= m_now) {
@@ -86,6 +101,8 @@
     /// Confirmed reads that missed an acknowledged commit.
     int stale() const { return m_stale; }
     int promotions() const { return m_promotions; }
+    /// Promotions that were requested with a lower fencing token than one before.
+    int reversed_tokens() const { return m_reversed_tokens; }
     std::size_t acknowledged() const { return m_acknowledged.size(); }
 
 private:
@@ -101,8 +118,11 @@
 
     struct attempt_state {
         attempt_phase phase = attempt_phase::pausing;
+        std::string holder;
         std::uint64_t term = 0;
-        std::uint64_t token = 0;
+        store_position claim_position;
+        /// The claims that it was based on show all promotions.
+        bool complete = true;
         std::string old_primary;
         std::string successor;
         time_point lease_end;
@@ -147,15 +167,14 @@
         log_position acknowledged;
         std::vector<waiting_commit> unconfirmed;
         std::optional<attempt_state> attempt;
-        std::uint64_t claim_revision = 0;
+        store_position claim_position;
         time_point claim_seen_at{};
-    };
-
-    struct stored_claim {
-        failover_claim claim{1, "", "", true};
-        std::uint64_t revision = 1;
-        /// The newest term that a promotion may have led to; later claims keep it.
-        std::uint64_t promoted_term = 1;
+        store_era era{1, start};
+        /// Where the claim stood when the primary was proved to lead, until it is written.
+        std::optional<store_position> renewal;
+        known_primary renewed_primary;
+        /// All instances that were ever listed.
+        std::set<std::string> seen;
     };
 
     bool omits(omitted_rule rule) const { return m_omitted.contains(rule); }
@@ -183,11 +202,14 @@
             m_hosts.at(static_cast<std::size_t>(m_random.pick(domain_count))).frozen_until =
                 m_now + step * m_random.pick(80);
         }
+        if (m_store_behavior == store_behavior::is_restored && m_random.chance(0.015)) {
+            m_store.restore(step * m_random.pick(restorable_store::max_loss / step));
+        }
     }
 
     void run_host(int domain, host& own) {
         if (m_links.reaches_store(domain) && m_random.chance(0.7)) {
-            own.listed = m_group.listed();
+            read_list(own);
             see_claim(own);
         }
         take_list_of_peers(domain, own);
@@ -201,6 +223,7 @@
         if (m_random.chance(0.3)) {
             serve_read(domain, own);
         }
+        renew_claim(domain, own);
         if (own.attempt) {
             continue_attempt(domain, own);
         } else if (m_random.chance(0.01) && m_links.reaches_store(domain)) {
@@ -208,13 +231,89 @@
         }
     }
 
+    // After a restoration, an entry that the host knows to be outdated isn't listed again, and one
+    // that is missing is kept until the instances have written their entries again.
+    void read_list(host& own) {
+        learn_era(own);
+        const restorable_store::instance_list known = std::exchange(own.listed, m_store.listed());
+        if (own.era.number > 1) {
+            std::erase_if(own.listed, [&](const auto& entry) {
+                const std::string& id = entry.first;
+                return own.seen.contains(id) && !known.contains(id) && m_group.find(id) == nullptr;
+            });
+            if (m_now - own.era.seen_at < restorable_store::rewrite_time) {
+                own.listed.insert(known.begin(), known.end());
+            }
+        }
+        for (const auto& [id, born] : own.listed) {
+            own.seen.insert(id);
+        }
+    }
+
+    void learn_era(host& own) const {
+        if (own.era.number != m_store.position().era) {
+            own.era = {m_store.position().era, m_now};
+        }
+    }
+
     void see_claim(host& own) const {
-        if (own.claim_revision != m_claim.revision) {
-            own.claim_revision = m_claim.revision;
+        learn_era(own);
+        if (own.claim_position != m_store.position()) {
+            own.claim_position = m_store.position();
             own.claim_seen_at = m_now;
         }
     }
 
+    bool is_current() const { return m_store.claim().era == m_store.position().era; }
+
+    bool covers_promotions() const {
+        return (is_current() && m_store.claim().complete) ||
+               omits(omitted_rule::cover_earlier_eras);
+    }
+
+    bool may_be_held(const host& own) const {
+        const bool current = is_current() || omits(omitted_rule::wait_for_earlier_leases);
+        return (!current || !m_store.claim().finished) && m_now - own.claim_seen_at < claim_timeout;
+    }
+
+    // Writes fail for a host that has seen the era rise since it read the claim. Some are executed
+    // late if the store is one that is restored.
+    std::optional<store_position> write_claim(const host& own, const store_position& expected,
+                                              const failover_claim& claim) {
+        if (own.era.number != expected.era) {
+            return std::nullopt;
+        }
+        if (m_store_behavior == store_behavior::is_restored && m_random.chance(0.05)) {
+            m_store.write_late(expected, claim, step * m_random.pick(120));
+            return std::nullopt;
+        }
+        return m_store.write(expected, claim);
+    }
+
+    // Once the members have confirmed the primary, a claim of this era shows all promotions.
+    void renew_claim(int domain, host& own) {
+        if (m_store_behavior == store_behavior::keeps_all || !m_links.reaches_store(domain)) {
+            return;
+        }
+        if (own.renewal) {
+            if (own.primary == own.renewed_primary) {
+                const std::uint64_t term = own.primary.term;
+                write_claim(own, *own.renewal,
+                            {term, "", own.primary.instance, true, term, own.renewal->era, true});
+            }
+            own.renewal.reset();
+            return;
+        }
+        see_claim(own);
+        const bool settled = m_now - own.era.seen_at >= claim_timeout + promotion_timeout / 2;
+        const bool newer = m_store.claim().promoted_term > own.primary.term;
+        if (settled && !covers_promotions() && !newer && !may_be_held(own) && hears_most(domain) &&
+            all_follow(domain, own)) {
+            own.renewal = m_store.position();
+            own.renewed_primary = own.primary;
+        }
+    }
+
     void update_knowledge(int domain, host& own) {
         own.established.update(own.listed, m_now);
         std::map<std::string, group_roster::listed_member> seen;
@@ -278,8 +377,10 @@
         if (own.contact.is_unbroken(own.primary, m_now) || m_random.chance(0.5)) {
             return;
         }
-        const bool none_newer = m_links.reaches_store(domain)
-                                    ? m_claim.promoted_term <= own.primary.term
+        const bool reads_claim = m_links.reaches_store(domain);
+        const bool newer = m_store.claim().promoted_term > own.primary.term;
+        const bool none_newer = reads_claim && (newer || covers_promotions())
+                                    ? !newer
                                     : hears_most(domain) && all_follow(domain, own);
         if (none_newer) {
             own.contact.restore(own.primary, m_now, m_now);
@@ -465,15 +566,14 @@
     static std::string name(int domain) { return "h" + std::to_string(domain); }
 
     void start_attempt(int domain, host& own) {
-        own.listed = m_group.listed();
+        read_list(own);
         see_claim(own);
-        const failover_claim& present = m_claim.claim;
-        const bool expired = m_now - own.claim_seen_at >= claim_timeout;
+        const failover_claim present = m_store.claim();
         const bool just_replaced = present.finished && present.holder != name(domain) &&
                                    present.successor == own.primary.instance &&
                                    present.term == own.primary.term &&
                                    m_now - own.primary_since < claim_timeout;
-        if ((!present.finished && !expired) || just_replaced) {
+        if (may_be_held(own) || just_replaced) {
             return;
         }
         if (present.finished && !present.successor.empty() &&
@@ -483,26 +583,30 @@
             return;
         }
         attempt_state attempt;
+        attempt.holder = name(domain);
         attempt.term = std::max(own.tracker.newest_term(), present.term) + 1;
         attempt.old_primary = own.primary.instance;
         attempt.lease_end = m_now + claim_lease;
         attempt.phase_since = m_now;
-        m_claim = {
-            {attempt.term, name(domain), "", false}, m_claim.revision + 1, m_claim.promoted_term};
-        attempt.token = m_claim.revision;
-        own.attempt = attempt;
+        attempt.complete = covers_promotions();
+        attempt.promoted_term = present.promoted_term;
+        const store_position expected = m_store.position();
+        const auto written = write_claim(own, expected,
+                                         {attempt.term, name(domain), "", false,
+                                          attempt.promoted_term, expected.era, attempt.complete});
+        if (written) {
+            attempt.claim_position = *written;
+            own.attempt = attempt;
+        }
     }
 
-    void finish_claim(const attempt_state& attempt, const std::string& successor) {
-        if (m_claim.revision == attempt.token) {
-            if (attempt.leads) {
-                m_claim.claim.term = attempt.led_term;
-                m_claim.promoted_term = attempt.led_term;
-            }
-            m_claim.claim.successor = successor;
-            m_claim.claim.finished = true;
-            ++m_claim.revision;
-        }
+    void finish_claim(const host& own, const std::string& successor) {
+        const attempt_state& attempt = *own.attempt;
+        const std::uint64_t term = attempt.leads ? attempt.led_term : attempt.term;
+        const std::uint64_t promoted = attempt.leads ? attempt.led_term : attempt.promoted_term;
+        write_claim(own, attempt.claim_position,
+                    {term, attempt.holder, successor, true, promoted, attempt.claim_position.era,
+                     attempt.complete || attempt.leads});
     }
 
     bool in_lease(const attempt_state& attempt) const {
@@ -533,7 +637,7 @@
             break;
         case attempt_phase::demoting:
             if (attempt.demoted || m_now - attempt.phase_since > command_life) {
-                finish_claim(attempt, attempt.successor);
+                finish_claim(own, attempt.successor);
                 own.attempt.reset();
             }
             break;
@@ -604,7 +708,7 @@
         const bool settled =
             m_now - attempt.last_pause_at >= established_replicas::contact_window + step;
         if (settled && m_links.reaches_store(domain)) {
-            own.listed = m_group.listed();
+            read_list(own);
             if (choose(domain, own, attempt)) {
                 promote(domain, own, attempt);
             }
@@ -614,7 +718,7 @@
     void promote(int domain, host& own, attempt_state& attempt) {
         const auto successor = choose(domain, own, attempt);
         if (!successor || !record_successor(own, attempt, *successor) ||
-            !m_group.promote(*successor, attempt.term, attempt.token)) {
+            !m_group.promote(*successor, attempt.term, token_of(attempt))) {
             own.attempt.reset();
             return;
         }
@@ -625,19 +729,29 @@
     }
 
     // An unfinished claim names its successor before the promotion is sent.
-    bool record_successor(const host& own, attempt_state& attempt, const std::string& successor) {
+    bool record_successor(host& own, attempt_state& attempt, const std::string& successor) {
         if (omits(omitted_rule::unbroken_contact)) {
             attempt.promoted_term = own.tracker.newest_term() + 1;
             return true;
         }
-        if (m_claim.revision != attempt.token) {
-            return false;
+        const std::uint64_t term = std::max(attempt.promoted_term, own.tracker.newest_term()) + 1;
+        const auto written = write_claim(own, attempt.claim_position,
+                                         {attempt.term, attempt.holder, successor, false, term,
+                                          attempt.claim_position.era, attempt.complete});
+        if (written) {
+            attempt.claim_position = *written;
+            attempt.promoted_term = term;
         }
-        m_claim.claim.successor = successor;
-        m_claim.promoted_term = std::max(m_claim.promoted_term, own.tracker.newest_term()) + 1;
-        attempt.token = ++m_claim.revision;
-        attempt.promoted_term = m_claim.promoted_term;
-        return true;
+        return written.has_value();
+    }
+
+    std::uint64_t token_of(const attempt_state& attempt) {
+        const std::uint64_t token = omits(omitted_rule::order_tokens_by_era)
+                                        ? attempt.claim_position.revision
+                                        : attempt.claim_position.fencing_token();
+        m_reversed_tokens += token < m_newest_token ? 1 : 0;
+        m_newest_token = std::max(m_newest_token, token);
+        return token;
     }
 
     void abandon(int domain, host& own) {
@@ -648,7 +762,7 @@
             for (const auto& id : attempt.pause_requested) {
                 m_group.send(domain, id, command_kind::resume, attempt.term);
             }
-            finish_claim(attempt, "");
+            finish_claim(own, "");
             own.attempt.reset();
         } else {
             attempt.phase = attempt_phase::resuming;
@@ -677,7 +791,7 @@
         }
         attempt.pending.clear();
         if (m_now > attempt.commands_expire_at) {
-            finish_claim(attempt, "");
+            finish_claim(own, "");
             own.attempt.reset();
         }
     }
@@ -737,7 +851,7 @@
         if (!resumes) {
             const bool resumed = attempt.paused_late.empty();
             if (resumed || m_now > attempt.commands_expire_at) {
-                finish_claim(attempt, attempt.successor);
+                finish_claim(own, attempt.successor);
                 own.attempt.reset();
             }
             return;
@@ -752,11 +866,14 @@
 
     walk_random m_random;
     omitted_rules m_omitted;
+    store_behavior m_store_behavior;
     time_point m_now = start;
     domain_links m_links;
     instance_group m_group;
     std::array<host, domain_count> m_hosts;
-    stored_claim m_claim;
+    restorable_store m_store{{1, "", "", true, 1, 1, true}};
+    std::uint64_t m_newest_token = 0;
+    int m_reversed_tokens = 0;
     int m_last_commit = 0;
     std::set<int> m_acknowledged;
     int m_lost = 0;
