--- a/include/bronzeplank/failover.hpp
+++ b/include/bronzeplank/failover.hpp
@@ -6,6 +6,7 @@
 #include "bronzeplank/time.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <set>
 #include <string>
@@ -92,6 +93,9 @@
 /// chosen only if a commit may be acknowledged that no other instance is known to have.
 std::optional<std::string> choose_successor(const failover_choice& choice);
 
+/// In place of a claim's promoted term: any term may have been promoted.
+constexpr std::uint64_t any_term = std::numeric_limits<std::uint64_t>::max();
+
 /// A group's claim as stored on the platform: the claimed term, its holder, and whether the
 /// failover is finished; then the term is the one that the successor leads. The successor is stored
 /// before its promotion is requested. The claim's position in the platform's store serves as its
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -57,6 +57,11 @@
     return sources;
 }
 
+// Before, promotions of the earlier era may still take effect, and members may not be listed yet.
+bool failover_service::is_era_settled() const {
+    return event_loop::now() - m_platform.era().seen_at >= settled_era_age;
+}
+
 task<void>
 failover_service::read_claim(std::string group,
                              std::function<void(const std::optional<failover_claim>&)> on_claim) {
@@ -67,6 +72,9 @@
         if (stored.succeeded && !unreadable) {
             claim = stored.claim;
             claim->complete = stored.covers_promotions();
+            if (!claim->complete && !is_era_settled()) {
+                claim->promoted_term = any_term;
+            }
         }
     }
     on_claim(claim);
@@ -675,7 +683,7 @@
     const store_era era = m_platform.era();
     if (listed == nullptr || primary->term == 0 || era.number == state.covered_era ||
         state.failover_running || state.renewal_running || now < state.next_renewal_at ||
-        now - era.seen_at < settled_era_age || !m_platform.reachable() ||
+        !is_era_settled() || !m_platform.reachable() ||
         m_router.gateway_of(*listed) != m_router.host() || !m_router.can_ask_members(group)) {
         return;
     }
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -168,6 +168,7 @@
                                        const std::optional<known_primary>& primary) const;
     int failover_rank(const std::string& group) const;
     task<void> run_failover(std::string group, std::string old_primary, failover_reason reason);
+    bool is_era_settled() const;
     bool may_be_held(const std::string& group, const stored_claim& present, time_point now);
     task<bool> acquire_claim(failover_attempt& attempt);
     void renew_claim_if_due(const std::string& group, time_point now);
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -251,13 +251,16 @@
     const std::size_t live = m_fleet->live_peers(now).size() + 1;
     const std::set<std::string> members = members_of(group);
     const auto primary = m_directory.primary(group);
+    const auto is_primary = [&](const std::string& id) {
+        return primary && id == primary->instance;
+    };
+    const bool has_others = !std::all_of(members.begin(), members.end(), is_primary);
     const bool all_reachable =
         std::all_of(members.begin(), members.end(), [&](const std::string& id) {
             const upstream_instance* listed = m_directory.instance(id);
-            return (primary && id == primary->instance) ||
-                   (listed != nullptr && status_of(*listed).reachable);
+            return is_primary(id) || (listed != nullptr && status_of(*listed).reachable);
         });
-    return all_reachable && 2 * live > m_fleet->presumed_host_count(now);
+    return has_others && all_reachable && 2 * live > m_fleet->presumed_host_count(now);
 }
 
 void upstream_router::prove_by_members(const std::string& group,
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -34,7 +34,8 @@
     std::function<std::set<std::string>(const std::string& group)> members;
     std::function<bool()> platform_reachable;
     /// Reads the group's claim; empty if the platform doesn't answer. `complete` is set only if the
-    /// claim covers all promotions up to now.
+    /// claim covers all promotions up to now; its promoted term is `any_term` if the members can't
+    /// tell either.
     std::function<void(const std::string& group,
                        std::function<void(const std::optional<failover_claim>&)>)>
         read_claim;
