--- a/test/platform/directory_follower_test.cpp
+++ b/test/platform/directory_follower_test.cpp
@@ -1,21 +1,17 @@
 #include "platform/directory_follower.hpp"
 
-#include "platform/store_stub.hpp"
+#include "platform/followed_store.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace bronzeplank;
 using namespace bronzeplank::platform;
+using model::stability_window;
 using model::store_stub;
 using std::chrono::milliseconds;
 
 namespace {
 
-// From the users' rules (StabilityWindowMs, ConfigApplyMs): when a host counts as in touch again
-// after an outage of the store, and when a change must be in force.
-constexpr std::chrono::milliseconds stability_window{4000};
-constexpr std::chrono::milliseconds configuration_apply_time{3000};
-
 std::string instance_spec(const std::string& state) {
     return fmt::format(R"({{"Service":"g","Address":"127.0.0.1:7000","Zone":"a","Slots":2,)"
                        R"("State":"{}","DbRole":"replica","Seq":1}})",
@@ -28,14 +24,7 @@
         version, version);
 }
 
-/// A directory follower and the store that it follows, in one event loop.
-struct follower_fixture {
-    event_loop loop;
-    store_stub store{loop};
-    fleet_directory directory;
-    object_store client{loop, store_stub::address()};
-    directory_follower follower{loop, client, directory, {"host", "a", {"127.0.0.1", 7001}}};
-
+struct follower_fixture : model::followed_store {
     follower_fixture() {
         store.write("config", "main", configuration_spec(1));
         store.write("servers", "i", instance_spec("ready"));
@@ -50,27 +39,6 @@
         return directory.configuration()->version == 2 && directory.instance("i")->leaving &&
                directory.withdrawn_domains().contains("b");
     }
-
-    // Runs the loop until the condition holds, or the time is over.
-    template <class Condition>
-    bool until(Condition condition, duration time = stability_window + configuration_apply_time) {
-        const time_point deadline = event_loop::now() + time;
-        while (!condition() && event_loop::now() < deadline) {
-            run_for(milliseconds(2));
-        }
-        return condition();
-    }
-    void run_for(duration time) {
-        const timer stop = loop.after(time, [this] { loop.stop(); });
-        loop.run();
-    }
-    bool until_complete() {
-        follower.start();
-        return until([this] { return follower.complete(); });
-    }
-    bool until_version(std::uint64_t version) {
-        return until([&] { return directory.configuration()->version == version; });
-    }
 };
 
 } // namespace
--- a/test/platform/restored_store_test.cpp
+++ b/test/platform/restored_store_test.cpp
@@ -1,21 +1,16 @@
 #include "platform/claim_store.hpp"
-#include "platform/directory_follower.hpp"
-#include "platform/store_stub.hpp"
+#include "platform/followed_store.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace bronzeplank;
 using namespace bronzeplank::platform;
+using model::stability_window;
 using model::store_stub;
 using std::chrono::milliseconds;
 
 namespace {
 
-// From the users' rules: when a host counts as in touch again after an outage of the store
-// (StabilityWindowMs), and when a change must then be in force (ConfigApplyMs).
-constexpr std::chrono::milliseconds stability_window{4000};
-constexpr std::chrono::milliseconds configuration_apply_time{3000};
-
 /// An instance's entry as the instance itself writes it.
 struct entry {
     int sequence = 1;
@@ -34,38 +29,26 @@
 }
 
 /// A host that follows a store, which can be restored from a copy.
-struct restored_store_fixture {
-    event_loop loop;
-    store_stub store{loop};
-    fleet_directory directory;
-    object_store client{loop, store_stub::address()};
-    directory_follower follower{loop, client, directory, {"host", "a", {"127.0.0.1", 7001}}};
-
+struct restored_store_fixture : model::followed_store {
     restored_store_fixture() {
         store.write("config", "main", configuration_spec(1));
         store.write("servers", "p", entry{1, "ready", "primary"}.spec());
         store.write("servers", "r", entry{}.spec());
     }
 
+    /// Missing entries are removed meanwhile, once their grace is over.
     template <class Condition>
-    bool until(Condition condition, duration time = stability_window + configuration_apply_time) {
-        const time_point deadline = event_loop::now() + time;
-        while (!condition() && event_loop::now() < deadline) {
-            run_for(milliseconds(2));
-            directory.remove_expired(event_loop::now());
-        }
-        return condition();
-    }
-    void run_for(duration time) {
-        const timer stop = loop.after(time, [this] { loop.stop(); });
-        loop.run();
-    }
-    bool until_complete() {
-        follower.start();
-        return until([this] { return follower.complete() && directory.hosts().contains("host"); });
+    bool until(Condition condition,
+               duration time = stability_window + model::configuration_apply_time) {
+        return followed_store::until(
+            [&] {
+                directory.remove_expired(event_loop::now());
+                return condition();
+            },
+            time);
     }
-    bool until_version(std::uint64_t version) {
-        return until([&] { return directory.configuration()->version == version; });
+    bool until_registered() {
+        return until_complete() && until([this] { return directory.hosts().contains("host"); });
     }
     // The store is away for a moment and comes back from the copy.
     void restore(const store_stub::copy& copy) {
@@ -97,7 +80,7 @@
 
 TEST_CASE("a store that comes back from an older copy") {
     restored_store_fixture test;
-    REQUIRE(test.until_complete());
+    REQUIRE(test.until_registered());
     const store_stub::copy copy = test.store.take_copy();
 
     SECTION("and gives out again the revision that the watches go on from: a change below it is in "
