--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -63,7 +63,8 @@
                             store_behavior store = store_behavior::keeps_all,
                             const wire_behavior& wire = {})
         : m_random(seed), m_omitted(std::move(omitted)), m_store_behavior(store),
-          m_group(m_random, m_links, wire, start) {
+          m_group(m_random, m_links, wire, start),
+          m_store({1, "", "", true, 1, 1, true}, store == store_behavior::is_restored) {
         m_store.run(start, m_group.listed());
         for (auto& host : m_hosts) {
             read_list(host);
@@ -875,7 +876,7 @@
     domain_links m_links;
     instance_group m_group;
     std::array<host, domain_count> m_hosts;
-    restorable_store m_store{{1, "", "", true, 1, 1, true}};
+    restorable_store m_store;
     std::uint64_t m_newest_token = 0;
     int m_reversed_tokens = 0;
     int m_last_commit = 0;
--- a/test/model/restorable_store.hpp
+++ b/test/model/restorable_store.hpp
@@ -25,7 +25,9 @@
     /// The oldest copy that the store is restored from.
     static constexpr std::chrono::seconds max_loss{12};
 
-    explicit restorable_store(const failover_claim& first) : m_claim(first) {}
+    /// \param keeps_copies whether it can be restored
+    restorable_store(const failover_claim& first, bool keeps_copies)
+        : m_claim(first), m_keeps_copies(keeps_copies) {}
 
     /// Executes the late writes that are due, and copies the contents.
     /// \param present the running instances that would be listed
@@ -38,6 +40,9 @@
             }
         }
         std::erase_if(m_late_writes, [&](const auto& late) { return late.due <= now; });
+        if (!m_keeps_copies) {
+            return;
+        }
         const bool changed = m_copies.empty() || m_copies.back().position != m_position ||
                              m_copies.back().listed != present;
         if (changed) {
@@ -99,6 +104,7 @@
 
     time_point m_now{};
     failover_claim m_claim;
+    bool m_keeps_copies = false;
     store_position m_position{1, 1};
     instance_list m_present;
     instance_list m_restored_list;
