--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -21,6 +21,7 @@
     platform_reachable = 1202,
     object_unreadable = 1203,
     platform_restored = 1204,
+    watch_unanswered = 1205,
     primary_suspected = 1301,
     promotion_started = 1302,
     promotion_finished = 1303,
--- a/src/service/metrics.cpp
+++ b/src/service/metrics.cpp
@@ -92,8 +92,14 @@
 }
 
 std::string metrics::text() const {
-    std::string text = "# HELP bronzeplank_request_seconds Time from request to answer.\n"
-                       "# TYPE bronzeplank_request_seconds histogram\n";
+    std::string text;
+    // Gauges come first: collectors that limit the size of a scrape drop its end.
+    for (const auto& gauge : m_gauges) {
+        text += fmt::format("# HELP {} {}\n# TYPE {} gauge\n{} {}\n", gauge.name, gauge.help,
+                            gauge.name, gauge.name, gauge.value());
+    }
+    text += "# HELP bronzeplank_request_seconds Time from request to answer.\n"
+            "# TYPE bronzeplank_request_seconds histogram\n";
     for (const auto& [key, series] : m_tables->latencies) {
         text += histogram_text(key, series);
     }
@@ -111,10 +117,6 @@
         text += fmt::format("bronzeplank_reads_total{{workspace=\"{}\",served_by=\"{}\"}} {}\n",
                             std::get<0>(key), std::get<1>(key) ? "replica" : "primary", count);
     }
-    for (const auto& gauge : m_gauges) {
-        text += fmt::format("# HELP {} {}\n# TYPE {} gauge\n{} {}\n", gauge.name, gauge.help,
-                            gauge.name, gauge.name, gauge.value());
-    }
     return text;
 }
 
