--- a/test/platform/store_stub.hpp
+++ b/test/platform/store_stub.hpp
@@ -104,6 +104,14 @@
 
     /// Leaves the pending watches unanswered for good.
     void forget_watches() { m_watches.clear(); }
+    /// Leaves the kind's pending watches unanswered for good, at most so many of them.
+    void forget_watches(const std::string& kind, std::size_t at_most = SIZE_MAX) {
+        std::erase_if(m_watches, [&](const watch& item) {
+            const bool forgotten = item.kind == kind && at_most > 0;
+            at_most -= forgotten ? 1 : 0;
+            return forgotten;
+        });
+    }
 
     std::uint64_t revision() const { return m_revision; }
 
