--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -311,11 +311,19 @@
 void fleet::request_newer_directory(time_point now) {
     const directory_snapshot own = m_callbacks.snapshot_directory(false);
     const bool platform_unreachable = m_callbacks.platform_unreachable();
+    // A newer configuration first: it is what callers notice, and the list follows at the next
+    // check.
+    const auto rank = [&](std::uint64_t configuration_version, const store_position& list) {
+        return std::pair(std::max(configuration_version, own.configuration_version),
+                         platform_unreachable ? std::max(list, own.list_position)
+                                              : own.list_position);
+    };
+    auto newest_rank = rank(own.configuration_version, own.list_position);
     const fleet_peer* newest = nullptr;
     for (const fleet_peer* peer : live_peers(now)) {
-        const bool newer = peer->configuration_version > own.configuration_version ||
-                           (platform_unreachable && peer->list_position > own.list_position);
-        if (newer && (newest == nullptr || peer->list_position > newest->list_position)) {
+        const auto peer_rank = rank(peer->configuration_version, peer->list_position);
+        if (peer_rank > newest_rank) {
+            newest_rank = peer_rank;
             newest = peer;
         }
     }
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -28,6 +28,7 @@
     std::vector<replication_command> commands;
     directory_snapshot local_directory;
     std::vector<directory_snapshot> accepted_directories;
+    bool platform_unreachable = true;
     std::unique_ptr<fleet> peers;
 
     bus_host(event_loop& on, const std::string& name, std::uint16_t port, std::uint16_t seed)
@@ -57,7 +58,7 @@
             recorded_primaries[group] = primary;
         };
         callbacks.snapshot_directory = [this](bool) { return local_directory; };
-        callbacks.platform_unreachable = [] { return true; };
+        callbacks.platform_unreachable = [this] { return platform_unreachable; };
         callbacks.accept_directory = [this](const directory_snapshot& copy) {
             accepted_directories.push_back(copy);
         };
@@ -418,6 +419,25 @@
     }
 }
 
+TEST_CASE("a host whose peers have different parts of the directory") {
+    event_loop loop;
+    bus_host host(loop, "first", 7593, scripted_port);
+    bus_host newer_list(loop, "newer_list", 7597, 7593);
+    bus_host newer_configuration(loop, "newer_configuration", 7598, 7593);
+    newer_list.local_directory = {7, "{}", {2, 40}, {}, {}};
+    newer_configuration.local_directory = {8, "{}", {2, 30}, {}, {}};
+
+    SECTION("asks the one with the newer configuration, even if another has a newer list") {
+        host.platform_unreachable = GENERATE(false, true);
+        REQUIRE(
+            run_until(loop, [&] { return host.peers->live_peers(event_loop::now()).size() == 2; }));
+        host.local_directory = {6, "{}", {2, 30}, {}, {}};
+        host.discard_received();
+        REQUIRE(run_until(loop, [&] { return !host.accepted_directories.empty(); }));
+        REQUIRE(host.accepted_directories.front().configuration_version == 8);
+    }
+}
+
 TEST_CASE("a host that one peer asks for a heartbeat between two regular ones") {
     event_loop loop;
     bus_host host(loop, "first", 7593, scripted_port);
