--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -7,6 +7,7 @@
 
 #include <random>
 #include <set>
+#include <tuple>
 
 namespace bronzeplank {
 
@@ -306,28 +307,17 @@
     m_callbacks.accept_directory(read_directory(message.directory_answer()));
 }
 
-// The platform is the preferred source. The directory is requested from a peer only when the
-// platform's update does not arrive in time.
-void fleet::request_newer_directory(time_point now) {
-    const directory_snapshot own = m_callbacks.snapshot_directory(false);
-    const bool platform_unreachable = m_callbacks.platform_unreachable();
-    // A newer configuration first: it is what callers notice, and the list follows at the next
-    // check.
-    const auto rank = [&](std::uint64_t configuration_version, const store_position& list) {
-        return std::pair(std::max(configuration_version, own.configuration_version),
-                         platform_unreachable ? std::max(list, own.list_position)
-                                              : own.list_position);
-    };
-    auto newest_rank = rank(own.configuration_version, own.list_position);
-    const fleet_peer* newest = nullptr;
+// The platform is the preferred source. Peers are asked only when its update does not arrive in
+// time.
+void fleet::check_directory(time_point now) {
+    const directory_versions known = m_callbacks.known_directory();
+    directory_versions newest = known;
     for (const fleet_peer* peer : live_peers(now)) {
-        const auto peer_rank = rank(peer->configuration_version, peer->list_position);
-        if (peer_rank > newest_rank) {
-            newest_rank = peer_rank;
-            newest = peer;
-        }
+        newest.configuration = std::max(newest.configuration, peer->directory.configuration);
+        newest.instances = std::max(newest.instances, peer->directory.instances);
+        newest.withdrawals = std::max(newest.withdrawals, peer->directory.withdrawals);
     }
-    if (newest == nullptr) {
+    if (newest == known) {
         m_behind_since.reset();
         return;
     }
@@ -335,6 +325,30 @@
         m_behind_since = now;
     } else if (now - *m_behind_since >= platform_update_grace) {
         m_behind_since = now;
+        m_callbacks.directory_overdue(newest);
+        request_newer_directory(known, now);
+    }
+}
+
+// Asks the peer with the newest configuration, or with the newest lists if the configuration is
+// known. Lists are requested only while the platform is unreachable.
+void fleet::request_newer_directory(const directory_versions& known, time_point now) {
+    const bool platform_unreachable = m_callbacks.platform_unreachable();
+    const auto rank = [&](const directory_versions& versions) {
+        return platform_unreachable
+                   ? std::tuple(std::max(versions.configuration, known.configuration),
+                                std::max(versions.instances, known.instances),
+                                std::max(versions.withdrawals, known.withdrawals))
+                   : std::tuple(std::max(versions.configuration, known.configuration),
+                                known.instances, known.withdrawals);
+    };
+    const fleet_peer* newest = nullptr;
+    for (const fleet_peer* peer : live_peers(now)) {
+        if (rank(peer->directory) > rank(newest == nullptr ? known : newest->directory)) {
+            newest = peer;
+        }
+    }
+    if (newest != nullptr) {
         wire::envelope message;
         message.mutable_directory();
         send(newest->host, message);
@@ -482,7 +496,7 @@
     }
     if (now - m_directory_checked >= directory_check_interval) {
         m_directory_checked = now;
-        request_newer_directory(now);
+        check_directory(now);
     }
     m_tick = m_loop.after(tick_interval, [this] { tick(); });
 }
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -50,8 +50,8 @@
     std::string failure_domain;
     std::string address;
     std::uint32_t incarnation = 0;
-    std::uint64_t configuration_version = 0;
-    store_position list_position;
+    /// The latest changes that the peer has applied.
+    directory_versions directory;
     bool leaving = false;
     time_point last_received;
     /// The peer is considered dead after this long without a message.
@@ -96,6 +96,10 @@
     /// Whether a newer instance list is to be requested from peers.
     std::function<bool()> platform_unreachable;
     std::function<void(const directory_snapshot&)> accept_directory;
+    /// Up to which changes this host knows the platform's directory.
+    std::function<directory_versions()> known_directory;
+    /// Called when peers have had later changes for longer than the platform needs to deliver them.
+    std::function<void(const directory_versions& newest)> directory_overdue;
 };
 
 /// Exchanges heartbeats with all known hosts and forwards work to their gateways.
@@ -195,7 +199,8 @@
     void handle_position_request(const std::string& from, const wire::envelope& message);
     void send_directory(const std::string& from);
     void handle_directory(const wire::envelope& message);
-    void request_newer_directory(time_point now);
+    void check_directory(time_point now);
+    void request_newer_directory(const directory_versions& known, time_point now);
     void complete_call(const wire::envelope& message);
     std::uint64_t register_call(const std::string& host, duration timeout, call handlers);
     bool send(const std::string& host, wire::envelope& message);
--- a/src/session/fleet_directory.hpp
+++ b/src/session/fleet_directory.hpp
@@ -24,6 +24,14 @@
     bool operator==(const registered_host&) const = default;
 };
 
+/// How new each part of a host's directory is.
+struct directory_versions {
+    std::uint64_t configuration = 0;
+    store_position instances;
+    store_position withdrawals;
+    bool operator==(const directory_versions&) const = default;
+};
+
 /// The directory's contents, as sent to a host that can't reach the platform.
 struct directory_snapshot {
     std::uint64_t configuration_version = 0;
@@ -32,7 +40,13 @@
     store_position list_position;
     upstream_list instances;
     std::set<std::string> withdrawn_domains;
+    /// Revision 0 from a host that doesn't report it: the domains are as of `list_position` then.
+    store_position withdrawals_position{};
     bool operator==(const directory_snapshot&) const = default;
+
+    directory_versions versions() const {
+        return {configuration_version, list_position, withdrawals_position};
+    }
 };
 
 /// Holds the latest configuration, instance list and host list, as read from the platform or
--- a/src/session/fleet_heartbeats.cpp
+++ b/src/session/fleet_heartbeats.cpp
@@ -56,8 +56,9 @@
     peer.incarnation = incarnation;
     peer.marked_alive = true;
     peer.leaving = heartbeat.leaving();
-    peer.configuration_version = heartbeat.configuration_version();
-    peer.list_position = {heartbeat.list_era(), heartbeat.list_revision()};
+    peer.directory = {heartbeat.configuration_version(),
+                      {heartbeat.list_era(), heartbeat.list_revision()},
+                      {heartbeat.withdrawals_era(), heartbeat.withdrawals_revision()}};
     peer.record_contact(event_loop::now());
     const duration sender_interval = std::chrono::milliseconds(heartbeat.period_ms());
     peer.timeout =
@@ -145,6 +146,8 @@
     heartbeat->set_configuration_version(own.configuration_version);
     heartbeat->set_list_era(own.list_position.era);
     heartbeat->set_list_revision(own.list_position.revision);
+    heartbeat->set_withdrawals_era(own.withdrawals_position.era);
+    heartbeat->set_withdrawals_revision(own.withdrawals_position.revision);
     heartbeat->set_whole(full);
     for (const auto& [instance, state] : m_callbacks.pools()) {
         const auto failing_percent = static_cast<std::uint32_t>(state.failure_rate * 100);
--- a/src/session/fleet_messages.cpp
+++ b/src/session/fleet_messages.cpp
@@ -146,6 +146,8 @@
     target.set_configuration(snapshot.configuration_text);
     target.set_list_era(snapshot.list_position.era);
     target.set_list_revision(snapshot.list_position.revision);
+    target.set_withdrawals_era(snapshot.withdrawals_position.era);
+    target.set_withdrawals_revision(snapshot.withdrawals_position.revision);
     for (const auto& [id, instance] : snapshot.instances) {
         auto* added = target.add_instances();
         added->set_id(id);
@@ -169,6 +171,7 @@
     snapshot.configuration_version = message.configuration_version();
     snapshot.configuration_text = message.configuration();
     snapshot.list_position = {message.list_era(), message.list_revision()};
+    snapshot.withdrawals_position = {message.withdrawals_era(), message.withdrawals_revision()};
     for (const auto& listed : message.instances()) {
         snapshot.instances[listed.id()] = read_instance(listed);
     }
--- a/test/platform/directory_follower_test.cpp
+++ b/test/platform/directory_follower_test.cpp
@@ -151,6 +151,14 @@
         test.follower.accept(snapshot);
         REQUIRE(test.directory.configuration()->version == 5);
     }
+    SECTION("a peer's withdrawn domains are accepted if only they are newer") {
+        const store_position list = test.follower.snapshot(false).list_position;
+        test.follower.accept({1, configuration_spec(1), list, {}, {"d"}, {1, 2000}});
+        REQUIRE(test.directory.withdrawn_domains().contains("d"));
+        REQUIRE(test.directory.instance("i") != nullptr);
+        test.follower.accept({1, configuration_spec(1), list, {}, {}, {1, 1999}});
+        REQUIRE(test.directory.withdrawn_domains().contains("d"));
+    }
 }
 
 TEST_CASE("the store falls silent while all kinds are watched") {
--- a/test/platform/silent_watch_test.cpp
+++ b/test/platform/silent_watch_test.cpp
@@ -141,6 +141,15 @@
         test.change(kind, 2);
         REQUIRE(test.until_all_know(kind, 2, stability_window));
     }
+    SECTION("when only one host's watch is lost, and waits are those of a large fleet") {
+        for (const auto& host : test.hosts) {
+            host->client.set_host_count(host_count == 1 ? 1 : 40);
+        }
+        test.run_for(milliseconds(4000));
+        test.store.forget_watches(kind, 1);
+        test.change(kind, 2);
+        REQUIRE(test.until_all_know(kind, 2, stability_window));
+    }
     SECTION("when only one host's watch is lost") {
         test.run_for(milliseconds(2000));
         test.store.forget_watches(kind, 1);
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -29,6 +29,7 @@
     directory_snapshot local_directory;
     std::vector<directory_snapshot> accepted_directories;
     bool platform_unreachable = true;
+    std::vector<directory_versions> overdue_directories;
     std::unique_ptr<fleet> peers;
 
     bus_host(event_loop& on, const std::string& name, std::uint16_t port, std::uint16_t seed)
@@ -62,6 +63,10 @@
         callbacks.accept_directory = [this](const directory_snapshot& copy) {
             accepted_directories.push_back(copy);
         };
+        callbacks.known_directory = [this] { return local_directory.versions(); };
+        callbacks.directory_overdue = [this](const directory_versions& newest) {
+            overdue_directories.push_back(newest);
+        };
         peers = std::make_unique<fleet>(
             loop, fleet::identity{name, "a", {"127.0.0.1", port}, {endpoint{"127.0.0.1", seed}}},
             directory, callbacks);
@@ -202,6 +207,26 @@
         REQUIRE(second->accepted_directories.front() == first.local_directory);
         REQUIRE(first.accepted_directories.empty());
     }
+    SECTION("notice that a reachable platform has not delivered what the other one has") {
+        second->platform_unreachable = false;
+        second->local_directory = {7, "{}", {2, 30}, {}, {}, {2, 10}};
+        SECTION("though only the withdrawn domains are newer") {
+            first.local_directory = {7, "{}", {2, 30}, {}, {"b"}, {2, 31}};
+            REQUIRE(run_until(loop, [&] { return !second->overdue_directories.empty(); }));
+            REQUIRE(second->overdue_directories.front() == first.local_directory.versions());
+            REQUIRE(second->accepted_directories.empty());
+        }
+        SECTION("and nothing when the other one is behind") {
+            first.local_directory = {6, "{}", {2, 29}, {}, {}, {2, 9}};
+            REQUIRE(run_until(loop, [&] {
+                return second->peers->find_live("first")->directory ==
+                       first.local_directory.versions();
+            }));
+            const timer stop = loop.after(milliseconds(700), [&loop] { loop.stop(); });
+            loop.run();
+            REQUIRE(second->overdue_directories.empty());
+        }
+    }
     SECTION("count each other as presumed hosts, even after one has died") {
         REQUIRE(first.peers->presumed_host_count(event_loop::now()) == 2);
         second.reset();
@@ -422,16 +447,16 @@
 TEST_CASE("a host whose peers have different parts of the directory") {
     event_loop loop;
     bus_host host(loop, "first", 7593, scripted_port);
-    bus_host newer_list(loop, "newer_list", 7597, 7593);
+    bus_host newer_lists(loop, "newer_lists", 7597, 7593);
     bus_host newer_configuration(loop, "newer_configuration", 7598, 7593);
-    newer_list.local_directory = {7, "{}", {2, 40}, {}, {}};
-    newer_configuration.local_directory = {8, "{}", {2, 30}, {}, {}};
+    newer_lists.local_directory = {7, "{}", {2, 40}, {}, {}, {2, 40}};
+    newer_configuration.local_directory = {8, "{}", {2, 30}, {}, {}, {2, 30}};
 
-    SECTION("asks the one with the newer configuration, even if another has a newer list") {
+    SECTION("asks the one with the newer configuration, even if another has newer lists") {
         host.platform_unreachable = GENERATE(false, true);
         REQUIRE(
             run_until(loop, [&] { return host.peers->live_peers(event_loop::now()).size() == 2; }));
-        host.local_directory = {6, "{}", {2, 30}, {}, {}};
+        host.local_directory = {6, "{}", {2, 30}, {}, {}, {2, 30}};
         host.discard_received();
         REQUIRE(run_until(loop, [&] { return !host.accepted_directories.empty(); }));
         REQUIRE(host.accepted_directories.front().configuration_version == 8);
