--- a/src/service/directory.cpp
+++ b/src/service/directory.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr std::chrono::seconds changes_wait{20};
+// A lost poll looks like one that waits, and hides changes for this long and the poll's margin.
+constexpr std::chrono::seconds changes_wait{5};
 constexpr std::chrono::milliseconds retry_delay{200};
 const char* const watched_kinds = "configuration,group,key";
 
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -56,6 +56,8 @@
 struct fault_switches {
     bool down = false;
     bool lose_answers = false;
+    /// New polls for changes get no answer, and their connections stay open.
+    bool lose_polls = false;
     int delay_ms = 0;
     std::set<std::string> cut_domains;
 };
@@ -232,6 +234,9 @@
             reply(request, 200, changes_since(since, kinds));
             return;
         }
+        if (m_faults.lose_polls) {
+            return;
+        }
         evhttp_connection_set_closecb(evhttp_request_get_connection(request),
                                       &platform_server::on_close, this);
         m_watches.push_back(
@@ -316,6 +321,8 @@
             close_watches(m_faults.down);
         } else if (name == "lose_answers") {
             m_faults.lose_answers = value.GetBool();
+        } else if (name == "lose_polls") {
+            m_faults.lose_polls = value.GetBool();
         } else if (name == "delay_ms") {
             m_faults.delay_ms = value.GetInt();
         } else if (name == "cut_domains") {
--- a/test/process/process_test.py
+++ b/test/process/process_test.py
@@ -23,6 +23,8 @@
 PORT_BASE = int(os.environ.get("BRONZEPLANK_PORT_BASE", "7100"))
 PROGRAM = os.path.join(BUILD, "bronzeplank")
 WAIT_TIMEOUT_SECONDS = 30
+# The operators' target for a change of configuration to be in force everywhere.
+CONFIGURATION_TARGET_SECONDS = 11
 
 
 class Deployment:
@@ -128,13 +130,13 @@
         return 0, ""
 
 
-def wait_until(what, condition):
-    deadline = time.monotonic() + WAIT_TIMEOUT_SECONDS
+def wait_until(what, condition, timeout=WAIT_TIMEOUT_SECONDS):
+    deadline = time.monotonic() + timeout
     while time.monotonic() < deadline:
         if condition():
             return
         time.sleep(0.05)
-    raise AssertionError(f"timed out after {WAIT_TIMEOUT_SECONDS} s waiting until {what}")
+    raise AssertionError(f"timed out after {timeout} s waiting until {what}")
 
 
 def expect(what, expected, found):
@@ -239,6 +241,26 @@
                    lambda: deployment.status(1)["configuration_version"] == 3)
 
 
+def lost_polls(seed):
+    """A change is in force in time although the polls that all hosts sent before it were lost."""
+    with Deployment(hosts=3) as deployment:
+        command = [PROGRAM, "apply", "--questionnaire", "--based-on", "1", "--platform",
+                   f"127.0.0.1:{PORT_BASE}", os.path.join(deployment.dir, "questionnaire.jsonc")]
+
+        def version_in_force(version):
+            return all(deployment.status(number)["configuration_version"] == version
+                       for number in range(1, 4))
+
+        deployment.set_platform_faults(lose_polls=True)
+        subprocess.run(command, check=True)
+        wait_until("version 2 is in force", lambda: version_in_force(2))
+        deployment.set_platform_faults(lose_polls=False)
+        command[4] = "2"
+        subprocess.run(command, check=True)
+        wait_until("version 3 is in force", lambda: version_in_force(3),
+                   CONFIGURATION_TARGET_SECONDS)
+
+
 def is_rate_refusal(status, body):
     """Whether the answer is a truthful refusal by rate: the request was read, and has not run."""
     error = json.loads(body).get("error", {}) if status == 429 else {}
@@ -403,8 +425,8 @@
 
 
 TESTS = {function.__name__: function for function in (
-    host_killed, orderer_frozen, primary_frozen, key_withdrawn, operators_race, planned_stop,
-    fresh_host_in_an_outage, bad_requests, malformed_objects, role_refused,
+    host_killed, orderer_frozen, primary_frozen, key_withdrawn, operators_race, lost_polls,
+    planned_stop, fresh_host_in_an_outage, bad_requests, malformed_objects, role_refused,
     load_faults)}
 
 
