--- a/test/platform/followed_store.hpp
+++ b/test/platform/followed_store.hpp
@@ -16,14 +16,10 @@
 constexpr std::chrono::milliseconds stability_window{4000};
 constexpr std::chrono::milliseconds configuration_apply_time{3000};
 
-/// Usage: `followed_store test; test.store.write(...); test.until_version(2);`
-struct followed_store {
+/// An event loop with a stub of the platform's store in it.
+struct store_loop {
     event_loop loop;
     store_stub store{loop};
-    fleet_directory directory;
-    platform::object_store client{loop, store_stub::address()};
-    platform::directory_follower follower{
-        loop, client, directory, {"host", "a", {"127.0.0.1", 7001}}};
 
     /// Runs the loop until the condition holds, or the time is over.
     template <class Condition>
@@ -38,6 +34,15 @@
         const timer stop = loop.after(time, [this] { loop.stop(); });
         loop.run();
     }
+};
+
+/// Usage: `followed_store test; test.store.write(...); test.until_version(2);`
+struct followed_store : store_loop {
+    fleet_directory directory;
+    platform::object_store client{loop, store_stub::address()};
+    platform::directory_follower follower{
+        loop, client, directory, {"host", "a", {"127.0.0.1", 7001}}};
+
     bool until_complete() {
         follower.start();
         return until([this] { return follower.complete(); });
--- a/test/platform/silent_watch_test.cpp
+++ b/test/platform/silent_watch_test.cpp
@@ -49,9 +49,7 @@
 };
 
 /// Hosts that follow one store, in one event loop.
-struct following_fleet {
-    event_loop loop;
-    store_stub store{loop};
+struct following_fleet : model::store_loop {
     std::vector<std::unique_ptr<following_host>> hosts;
 
     explicit following_fleet(int host_count) {
@@ -99,19 +97,6 @@
             },
             stability_window);
     }
-    template <class Condition>
-    bool until(Condition condition, duration time) {
-        const time_point deadline = event_loop::now() + time;
-        while (!condition() && event_loop::now() < deadline) {
-            run_for(milliseconds(2));
-        }
-        return condition();
-    }
-    void run_for(duration time) {
-        const timer stop = loop.after(time, [this] { loop.stop(); });
-        loop.run();
-    }
-
     static std::string instance(int number) { return "i" + std::to_string(number); }
     static std::string domain(int number) { return "d" + std::to_string(number); }
 };
