--- a/test/failover_walks_test.cpp
+++ b/test/failover_walks_test.cpp
@@ -1,6 +1,8 @@
 #include "model/failover_walks.hpp"
 
 using namespace bronzeplank;
+using model::failover_model;
+using model::omitted_rule;
 using model::store_behavior;
 
 TEST_CASE("whatever is cut, replaced or stands still, in whatever order") {
@@ -16,3 +18,39 @@
         CHECK(totals.acknowledged > model::walk_count());
     }
 }
+
+TEST_CASE("the walks notice") {
+    const auto found = [](omitted_rule omitted, auto broken) {
+        return model::any_walk_breaks(omitted, store_behavior::keeps_all, broken);
+    };
+    const auto loses = [](const failover_model& walked) { return walked.lost() > 0; };
+    const auto misses = [](const failover_model& walked) { return walked.stale() > 0; };
+
+    SECTION("a coordinator that gives up members which it can't reach") {
+        CHECK(found(omitted_rule::account_for_unreachable, loses));
+    }
+    SECTION("new replicas that suffice for commits") {
+        CHECK(found(omitted_rule::establish_replicas, loses));
+    }
+    SECTION("new replicas that confirm the primary") {
+        CHECK(found(omitted_rule::establish_replicas, misses));
+    }
+    SECTION("a coordinator that goes on after its lease") {
+        CHECK(found(omitted_rule::claim_lease, loses));
+    }
+    SECTION("commands of an abandoned attempt that arrive after its claim is released") {
+        CHECK(found(omitted_rule::resume_answered, loses));
+    }
+    SECTION("commits that hung and are acknowledged like any other") {
+        CHECK(found(omitted_rule::confirm_delayed_commits, loses));
+    }
+    SECTION("commits that are acknowledged after a gap in contact") {
+        CHECK(found(omitted_rule::unbroken_contact, loses));
+    }
+    SECTION("reads that are served after a gap in contact") {
+        CHECK(found(omitted_rule::unbroken_contact, misses));
+    }
+    SECTION("answers to PAUSE of instances that ignored it") {
+        CHECK(found(omitted_rule::confirm_pauses, loses));
+    }
+}
