--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -5,6 +5,7 @@
 #include "runtime/log.hpp"
 #include "session/fleet_messages.hpp"
 
+#include <algorithm>
 #include <random>
 #include <set>
 #include <tuple>
@@ -74,6 +75,12 @@
     return found;
 }
 
+std::size_t fleet::live_host_count(time_point now) const {
+    const auto live = std::count_if(m_peers.begin(), m_peers.end(),
+                                    [&](const auto& entry) { return entry.second.alive(now); });
+    return static_cast<std::size_t>(live) + 1;
+}
+
 // Includes registered hosts that have never sent a heartbeat, for `host_retention` after the start:
 // they may be running on the other side of a partition. Hosts that registered after the list was
 // last read, and all hosts later on, count by their heartbeats only.
--- a/src/session/fleet_directory.hpp
+++ b/src/session/fleet_directory.hpp
@@ -69,6 +69,10 @@
     const std::shared_ptr<const fleet_configuration>& configuration() const {
         return m_configuration;
     }
+    /// 0 before the first version.
+    std::uint64_t configuration_version() const {
+        return m_configuration ? m_configuration->version : 0;
+    }
 
     /// Applies a complete list: unlisted instances are removed.
     void apply_instance_list(upstream_list listed, time_point now);
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -248,7 +248,7 @@
 // A host that is cut off from most others may not know all members.
 bool upstream_router::can_ask_members(const std::string& group) const {
     const time_point now = event_loop::now();
-    const std::size_t live = m_fleet->live_peers(now).size() + 1;
+    const std::size_t live = m_fleet->live_host_count(now);
     const std::set<std::string> members = members_of(group);
     const auto primary = m_directory.primary(group);
     const auto is_primary = [&](const std::string& id) {
--- a/test/platform/silent_watch_test.cpp
+++ b/test/platform/silent_watch_test.cpp
@@ -92,7 +92,7 @@
             [&] {
                 return std::all_of(hosts.begin(), hosts.end(), [&](const auto& host) {
                     return host->follower.complete() &&
-                           host->peers->live_peers(event_loop::now()).size() + 1 == hosts.size();
+                           host->peers->live_host_count(event_loop::now()) == hosts.size();
                 });
             },
             stability_window);
