--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -226,15 +226,18 @@
         await acknowledged.wait()
 
     async def _replicate(self, other, entry, acknowledged):
+        """Sends an entry to a replica, in order, while this instance leads the entry's term."""
         await asyncio.sleep(0.002)
-        while other.paused_by or other.log[-1][1] != entry[1] - 1:
-            await asyncio.sleep(0.005)
-            if other.term > self.term or other.log[-1][1] >= entry[1]:
+        while self.role == "primary" and self.term == entry[0] and self.server and other.server:
+            behind = entry[1] - other.log[-1][1]
+            if other.role != "replica" or other.term > self.term or behind < 1:
+                return
+            if behind == 1 and not other.paused_by:
+                other.log.append(entry)
+                other.term = self.term
+                acknowledged.set()
                 return
-        if other.role == "replica" and other.term <= self.term and other.server and self.server:
-            other.log.append(entry)
-            other.term = self.term
-            acknowledged.set()
+            await asyncio.sleep(0.005)
 
     async def serve(self, reader, writer):
         self.connections.add(writer)
