--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,8 @@
 sys.dont_write_bytecode = True
 from world import BACKGROUND_ID, Caller, run_case  # noqa: E402
 
-ROUNDS = int(os.environ.get("ROUNDS", "16"))
+# No evacuation begins later.
+LAST_ROUND_S = 95
 DELAY_S = float(os.environ.get("DELAY", "0.13"))
 KEY = "key-of-tenant0"
 
@@ -88,7 +89,7 @@
             for instance in cut:
                 world.record(instance.id, "is partitioned from the machines")
                 instance.reached.clear()
-        await asyncio.sleep(1)
+        await asyncio.sleep(0.6)
         world.store.on_write, world.on_pause = self.on_write, self.on_pause
         for service in world.services:
             self.callers[service] = [
@@ -96,7 +97,7 @@
                 for n, front in enumerate(world.fronts)]
         world.record("operator", f"evacuates {zone}")
         world.store.put("evacuations", zone, {})
-        await asyncio.sleep(2.2)
+        await asyncio.sleep(2)
         world.store.delete("evacuations", zone)
         for instance in cut:
             instance.reached.set()
@@ -105,7 +106,7 @@
                 if caller:
                     caller.close()
         world.store.on_write = world.on_pause = None
-        await asyncio.sleep(3)
+        await asyncio.sleep(2.2)
 
 
 async def body(world, trouble):
@@ -114,7 +115,9 @@
     await asyncio.sleep(4)
     lost = []
     acknowledged = 0
-    for number in range(ROUNDS):
+    number = 0
+    while world.record.now() < LAST_ROUND_S and not lost:
+        number += 1
         played = Round(world, number)
         await played.play(trouble)
         for identity, at in played.acknowledged.items():
@@ -124,8 +127,6 @@
             if later and entry not in later[0][3]:
                 lost.append(f"{identity} at {entry} acknowledged at {at:.2f}, {later[0][2]} "
                             f"leads at {later[0][0]:.2f} with {later[0][3][-1]}")
-        if lost:
-            break
     for reader in readers:
         reader.cancel()
     world.record("script", f"{acknowledged} commits acknowledged after a pause, "
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -10,6 +10,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -614,9 +615,11 @@
                 await asyncio.sleep(0.1)
         self.record("script", "all front hosts are ready")
 
-    def stop(self):
+    async def stop(self):
+        """Ends everything that was started."""
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for front in self.fronts:
             if front.running():
                 try:
@@ -624,6 +627,8 @@
                     front.process.kill()
                 except ProcessLookupError:
                     pass
+            if front.process is not None:
+                await front.process.wait()
 
 
 class CannotRun(Exception):
@@ -665,20 +670,21 @@
             await world.wait_ready()
             return await asyncio.wait_for(body(world, trouble), 110)
         finally:
-            world.stop()
+            await world.stop()
             record("script", f"{world.background_runs} statements of the background load were run")
             for front in world.fronts:
-                if front.process is not None:
-                    await front.process.wait()
                 path = os.path.join(world.folder, front.name + ".log")
                 if os.path.exists(path):
                     with open(path, encoding="utf-8", errors="replace") as file:
                         for line in list(file)[-200:]:
                             record.file.write(f"log of {front.name}: {line}")
+            shutil.rmtree(world.folder, ignore_errors=True)
 
+    # The processes are ended as well if the script is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(play())
-    except (CannotRun, OSError, asyncio.TimeoutError, KeyError) as error:
+    except Exception as error:  # pylint: disable=broad-except
         record("script", f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
