Log what a failover found: the claim, the members it accounts for, their answers, the platform's answer

Logs have the pauses (1308), but neither which primary a host believed in, the claim that it found, the members that it accounted for with their answers, nor when the platform was called and what it answered.

Change: events 1309 claim_found, 1310 successor_chosen, 1311 promotion_requested; 1305 primary_in_force is logged by front hosts too, with the primary before. No logic is changed.

--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -25,6 +25,35 @@
 
 } // namespace
 
+void failover_service::log_claim(const std::string& group, const stored_claim& present) {
+    const known_primary believed = m_directory.primary(group).value_or(known_primary{});
+    log(log_event::claim_found, {{"group", group},
+                                 {"revision", std::to_string(present.position.revision)},
+                                 {"term", std::to_string(present.claim.term)},
+                                 {"holder", present.claim.holder},
+                                 {"successor", present.claim.successor},
+                                 {"finished", present.claim.finished ? "true" : "false"},
+                                 {"promoted_term", std::to_string(present.claim.promoted_term)},
+                                 {"believed", believed.instance},
+                                 {"believed_term", std::to_string(believed.term)}});
+}
+
+void failover_service::log_choice(const failover_attempt& attempt,
+                                  const std::string& successor) const {
+    const failover_choice choice = current_choice(attempt);
+    std::string answered;
+    for (const auto& replica : choice.answered) {
+        answered +=
+            (answered.empty() ? "" : ", ") + replica.instance + " " + to_text(replica.status);
+    }
+    log(log_event::successor_chosen, {{"group", attempt.group},
+                                      {"successor", successor},
+                                      {"old_primary", choice.old_primary},
+                                      {"term", std::to_string(attempt.term)},
+                                      {"members", joined(choice.members)},
+                                      {"answered", answered}});
+}
+
 task<bool> failover_service::acquire_claim(failover_attempt& attempt) {
     // An instance that registers later is not established before this claim's lease has expired.
     if (!co_await m_platform.refresh_instances()) {
@@ -34,6 +63,7 @@
     if (!present.succeeded) {
         co_return false;
     }
+    log_claim(attempt.group, present);
     group_state& state = m_groups[attempt.group];
     const time_point now = event_loop::now();
     if (may_be_held(attempt.group, present, now)) {
@@ -171,6 +201,7 @@
         }
         const auto chosen = choose_successor(current_choice(attempt));
         if (chosen && is_list_current(attempt)) {
+            log_choice(attempt, *chosen);
             co_return *chosen;
         }
         if (!chosen && now - started >= replica_response_timeout) {
@@ -256,8 +287,15 @@
         if (!lease_valid(attempt)) {
             co_return false;
         }
+        const time_point requested_at = event_loop::now();
         const promotion_result result =
             co_await m_platform.promote(attempt.group, successor, attempt.token);
+        log(log_event::promotion_requested,
+            {{"group", attempt.group},
+             {"instance", successor},
+             {"token", std::to_string(attempt.token)},
+             {"result", std::string(to_string(result))},
+             {"took_ms", std::to_string(to_milliseconds(event_loop::now() - requested_at))}});
         if (result == promotion_result::refused) {
             co_return false;
         }
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -4,6 +4,9 @@
 #include "runtime/log.hpp"
 
 #include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
 
 namespace bronzeplank {
 
@@ -20,6 +23,11 @@
 
 } // namespace
 
+std::string_view to_string(promotion_result result) {
+    static constexpr std::array<std::string_view, 3> names{"done", "refused", "unanswered"};
+    return names.at(static_cast<std::size_t>(result));
+}
+
 failover_service::failover_service(event_loop& loop, fleet_directory& directory,
                                    upstream_router& router, fleet& peers,
                                    failover_platform platform)
@@ -127,6 +135,10 @@
     if (promoted) {
         // The first primary that this host learns of is not a new one.
         state.primary_since = state.last_primary.empty() ? time_point{} : now;
+        log(log_event::primary_in_force, {{"group", group},
+                                          {"primary", primary->instance},
+                                          {"term", std::to_string(primary->term)},
+                                          {"before", state.last_primary}});
         state.last_primary = primary->instance;
     }
     state.last_term = primary->term;
@@ -222,11 +234,12 @@
     if (std::exchange(state.waiting_logged, true)) {
         return;
     }
-    std::string members;
-    for (const auto& id : state.roster.members()) {
-        members += (members.empty() ? "" : " ") + id;
-    }
-    log(log_event::failover_waiting, {{"group", group}, {"members", members}});
+    log(log_event::failover_waiting,
+        {{"group", group}, {"members", joined(state.roster.members())}});
+}
+
+std::string failover_service::joined(const std::set<std::string>& instances) {
+    return fmt::format("{}", fmt::join(instances, " "));
 }
 
 int failover_service::failover_rank(const std::string& group) const {
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace bronzeplank {
 
@@ -34,6 +35,8 @@
 /// The platform's response to a promotion request.
 enum class promotion_result { done, refused, unanswered };
 
+std::string_view to_string(promotion_result result);
+
 /// The platform operations that the service depends on.
 struct failover_platform {
     std::function<bool()> reachable;
@@ -194,6 +197,9 @@
                                  const std::optional<replication_status>& status)>& on_answer);
     bool can_account_for_members(const std::string& group, failover_reason reason) const;
     void log_waiting(const std::string& group, group_state& state);
+    void log_claim(const std::string& group, const stored_claim& present);
+    void log_choice(const failover_attempt& attempt, const std::string& successor) const;
+    static std::string joined(const std::set<std::string>& instances);
     task<bool> resume_paused_replicas(failover_attempt& attempt);
     task<std::string> pause_and_choose_successor(failover_attempt& attempt);
     void request_pauses(failover_attempt& attempt, duration waited);
