--- /dev/null
+++ b/test/model/failover_fixture.hpp
@@ -0,0 +1,86 @@
+/// \file
+/// A host that runs the failover service on the group "g" with a fake platform.
+#pragma once
+
+#include "model/single_host.hpp"
+#include "session/failover_service.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bronzeplank::model {
+
+/// What the platform's store holds.
+struct stored_objects {
+    stored_claim claim;
+};
+
+/// A host that can't reach the primary "p", with a fake platform.
+struct failover_fixture {
+    single_host host;
+    stored_claim stored;
+    int reads = 0;
+    store_era era;
+    std::vector<failover_claim> written;
+    std::vector<std::string> promoted;
+    bool promotes_immediately = true;
+    promotion_result promotion_result_to_give = promotion_result::done;
+    duration write_delay{0};
+    std::vector<time_point> written_at;
+
+    stored_objects objects() const { return {stored}; }
+    void restore(const stored_objects& objects) { stored = objects.claim; }
+    bool finished() const {
+        return !written.empty() && written.back().finished && !written.back().successor.empty();
+    }
+    std::function<void()> on_refresh = [] {};
+    std::function<void()> on_written = [] {};
+    std::unique_ptr<failover_service> service;
+
+    failover_fixture() {
+        stored.succeeded = true;
+        host.directory.primary_tracker_for("g").record_primary("p", 1);
+        host.directory.remove_expired(event_loop::now());
+        host.pools["p"].reachable = false;
+        host.reports.erase("p");
+        failover_platform platform;
+        platform.reachable = [] { return true; };
+        platform.era = [this] { return era; };
+        platform.refresh_instances = [this]() -> task<bool> {
+            on_refresh();
+            co_return true;
+        };
+        platform.read = [this](std::string) -> task<stored_claim> {
+            ++reads;
+            co_return stored;
+        };
+        platform.write = [this](std::string, store_position,
+                                failover_claim claim) -> task<stored_claim> {
+            if (write_delay > duration(0)) {
+                co_await sleep_for(host.loop, write_delay);
+            }
+            written.push_back(claim);
+            written_at.push_back(event_loop::now());
+            stored = {true, {stored.position.era, stored.position.revision + 1}, claim};
+            on_written();
+            co_return stored;
+        };
+        platform.promote = [this](std::string, std::string instance,
+                                  std::uint64_t) -> task<promotion_result> {
+            promoted.push_back(instance);
+            if (promotion_result_to_give == promotion_result::refused) {
+                co_return promotion_result::refused;
+            }
+            if (promotes_immediately) {
+                host.reports[instance] = make_status(replication_role::primary, 2);
+            }
+            co_return promotion_result::done;
+        };
+        service = std::make_unique<failover_service>(host.loop, host.directory, host.router,
+                                                     host.peers, std::move(platform));
+    }
+};
+
+} // namespace bronzeplank::model
