--- a/include/bronzeplank/group_roster.hpp
+++ b/include/bronzeplank/group_roster.hpp
@@ -7,6 +7,7 @@
 #include "bronzeplank/time.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,6 +15,19 @@
 
 namespace bronzeplank {
 
+/// The members of a group as stored on the platform, for hosts that start later.
+struct group_members {
+    /// The primary when they were stored.
+    std::string primary;
+    /// The instances that a failover has to account for.
+    std::set<std::string> members;
+    /// Those of them that leave, or have left, as planned.
+    std::set<std::string> leaving;
+    /// The era of the platform's store in which they were stored.
+    std::uint64_t era = 0;
+    bool operator==(const group_members&) const = default;
+};
+
 /// Remembers the instances of a group whose logs a failover has to account for: an instance that
 /// loses the platform becomes unlisted, yet may go on acknowledging commits together with a primary
 /// that this host can't reach; and one that has exited may have been the only one besides the
@@ -62,6 +76,12 @@
     /// The instances that a failover has to account for.
     std::set<std::string> members() const;
 
+    /// Those of them that leave, or have left, as planned.
+    std::set<std::string> leaving() const;
+
+    /// Adds members that other hosts have stored and that this one has neither seen nor left out.
+    void merge(const group_members& stored, time_point now);
+
     /// Whether the members include each instance that may have been the only one besides the
     /// primary to receive a commit. An instance that left before this roster began is unknown to
     /// it, until there is the evidence by which a known one is left out.
@@ -92,10 +112,13 @@
     };
 
     static bool exited(const known_member& known);
+    static bool is_obsolete(const known_member& known, time_point now);
     static void take_answer(evidence& target, const std::string& instance,
                             const replication_status& status, bool may_settle);
 
     std::map<std::string, known_member> m_members;
+    /// Instances that were left out, and when.
+    std::map<std::string, time_point> m_left_out;
     /// Of the instances that left before the first update.
     evidence m_before_start;
     std::optional<time_point> m_started_at;
--- a/src/core/group_roster.cpp
+++ b/src/core/group_roster.cpp
@@ -21,11 +21,32 @@
             known.last_reachable = now;
         }
     }
-    std::erase_if(m_members, [&](const auto& entry) {
-        const known_member& known = entry.second;
-        return (exited(known) && known.after_exit.settled) ||
-               now - known.last_listed > unlisted_retention;
-    });
+    for (const auto& [id, known] : m_members) {
+        if (is_obsolete(known, now)) {
+            m_left_out[id] = now;
+        }
+    }
+    std::erase_if(m_members, [&](const auto& entry) { return is_obsolete(entry.second, now); });
+    std::erase_if(m_left_out,
+                  [&](const auto& entry) { return now - entry.second > unlisted_retention; });
+}
+
+bool group_roster::is_obsolete(const known_member& known, time_point now) {
+    return (exited(known) && known.after_exit.settled) ||
+           now - known.last_listed > unlisted_retention;
+}
+
+// The host that stored a leaver may have seen it exit; this one counts it as gone once it isn't
+// listed.
+void group_roster::merge(const group_members& stored, time_point now) {
+    for (const auto& id : stored.members) {
+        if (!m_left_out.contains(id) && !m_members.contains(id)) {
+            known_member& added = m_members[id];
+            added.leaving = stored.leaving.contains(id);
+            added.last_listed = now;
+            added.last_reachable = now;
+        }
+    }
 }
 
 // The platform drops the entry of an instance that exits at once, and that of a silent one only
@@ -85,4 +106,14 @@
     return found;
 }
 
+std::set<std::string> group_roster::leaving() const {
+    std::set<std::string> found;
+    for (const auto& [id, known] : m_members) {
+        if (known.leaving) {
+            found.insert(id);
+        }
+    }
+    return found;
+}
+
 } // namespace bronzeplank
--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -64,7 +64,14 @@
         co_return false;
     }
     log_claim(attempt.group, present);
+    if (!co_await merge_stored_members(attempt.group, present.claim)) {
+        co_return false;
+    }
     group_state& state = m_groups[attempt.group];
+    if (!can_account_for_members(attempt.group, attempt.reason)) {
+        log_waiting(attempt.group, state);
+        co_return false;
+    }
     const time_point now = event_loop::now();
     if (may_be_held(attempt.group, present, now)) {
         co_return false;
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -20,6 +20,7 @@
 // Promotions that claims of an earlier era have requested have taken effect by this age of the era.
 constexpr duration settled_era_age = claim_timeout + promotion_timeout / 2;
 constexpr std::chrono::milliseconds renewal_retry_interval{1000};
+constexpr std::chrono::milliseconds storing_retry_interval{500};
 
 } // namespace
 
@@ -40,6 +41,12 @@
         const auto found = m_groups.find(group);
         return found == m_groups.end() ? std::set<std::string>() : found->second.roster.members();
     };
+    sources.stored_members = [this](const std::string& group) -> const std::set<std::string>* {
+        const auto found = m_groups.find(group);
+        return found == m_groups.end() || !found->second.stored_members
+                   ? nullptr
+                   : &found->second.stored_members->members;
+    };
     sources.platform_reachable = m_platform.reachable;
     sources.read_claim = [this](const std::string& group, auto on_claim) {
         spawn(read_claim(group, std::move(on_claim)));
@@ -95,6 +102,7 @@
             update_roster(name, now);
             evaluate_group(name, now);
             renew_claim_if_due(name, now);
+            store_members_if_due(name, now);
         }
     }
     m_tick = m_loop.after(evaluation_interval, [this] { tick(); });
@@ -336,6 +344,76 @@
     return now - since < claim_timeout;
 }
 
+group_members failover_service::current_members(const std::string& group) {
+    const group_roster& roster = m_groups[group].roster;
+    return {m_directory.primary(group).value_or(known_primary{}).instance, roster.members(),
+            roster.leaving(), m_platform.era().number};
+}
+
+// Only the gateway of the primary stores the members: it decides which commits are acknowledged.
+void failover_service::store_members_if_due(const std::string& group, time_point now) {
+    group_state& state = m_groups[group];
+    const auto primary = m_directory.primary(group);
+    const upstream_instance* listed = primary ? m_directory.instance(primary->instance) : nullptr;
+    if (listed == nullptr || m_router.gateway_of(*listed) != m_router.host()) {
+        state.stored_members.reset();
+        return;
+    }
+    if (state.storing_members || now < state.next_storing_at || !m_platform.reachable() ||
+        state.stored_members == current_members(group)) {
+        return;
+    }
+    state.storing_members = true;
+    spawn(store_members(group));
+}
+
+task<void> failover_service::store_members(std::string group) {
+    const bool stored = co_await write_current_members(group);
+    group_state& state = m_groups[group];
+    state.storing_members = false;
+    state.next_storing_at =
+        event_loop::now() + (stored ? duration(0) : duration(storing_retry_interval));
+}
+
+task<bool> failover_service::write_current_members(std::string group) {
+    const stored_members present = co_await m_platform.read_members(group);
+    if (!present.succeeded) {
+        co_return false;
+    }
+    group_state& state = m_groups[group];
+    if (present.is_current()) {
+        state.roster.merge(present.members, event_loop::now());
+    }
+    const group_members wanted = current_members(group);
+    if (present.position.revision == 0 || present.members != wanted) {
+        const stored_members written =
+            co_await m_platform.write_members(group, present.position, wanted);
+        if (!written.succeeded) {
+            co_return false;
+        }
+    }
+    state.stored_members = wanted;
+    co_return true;
+}
+
+// A host that has started lately knows neither the members that left before nor a primary whose
+// entry has expired.
+task<bool> failover_service::merge_stored_members(std::string group, failover_claim claim) {
+    const stored_members present = co_await m_platform.read_members(group);
+    if (!present.succeeded) {
+        co_return false;
+    }
+    group_state& state = m_groups[group];
+    if (present.is_current()) {
+        state.roster.merge(present.members, event_loop::now());
+        if (state.last_primary.empty()) {
+            const bool led = claim.finished && !claim.successor.empty();
+            state.last_primary = led ? claim.successor : present.members.primary;
+        }
+    }
+    co_return true;
+}
+
 // Without a claim that covers all promotions, contact with a group can't be restored while one of
 // its members is out of reach. The claim is written as soon as the members can be asked.
 void failover_service::renew_claim_if_due(const std::string& group, time_point now) {
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -37,6 +37,18 @@
 
 std::string_view to_string(promotion_result result);
 
+/// A group's members as stored on the platform.
+struct stored_members {
+    /// Whether the read, or the conditional write, is known to have succeeded.
+    bool succeeded = false;
+    /// Its revision is 0 if none are stored.
+    store_position position;
+    group_members members;
+
+    /// Whether they were stored in the era in which they were read.
+    bool is_current() const { return position.revision > 0 && members.era == position.era; }
+};
+
 /// The platform operations that the service depends on.
 struct failover_platform {
     std::function<bool()> reachable;
@@ -50,6 +62,11 @@
     std::function<task<stored_claim>(std::string group, store_position expected,
                                      failover_claim claim)>
         write;
+    std::function<task<stored_members>(std::string group)> read_members;
+    /// Writes the members if the stored ones still have the expected position.
+    std::function<task<stored_members>(std::string group, store_position expected,
+                                       group_members members)>
+        write_members;
     std::function<task<promotion_result>(std::string group, std::string instance,
                                          std::uint64_t token)>
         promote;
@@ -64,6 +81,10 @@
 /// and demotes the old primary. If a replica doesn't answer but the old primary does, the old
 /// primary is demoted first instead.
 ///
+/// The gateway of a group's primary stores the group's members on the platform whenever they
+/// change, so that a host that has started since accounts for an instance that has left before. A
+/// commit isn't acknowledged on the word of a replica that isn't stored yet.
+///
 /// When the store has been restored from an older copy, claims may be missing from it. No group is
 /// failed over until the leases of the earlier era have expired, claims of that era prove nothing
 /// any more, and the primary's gateway writes a new one once all members have confirmed the
@@ -128,6 +149,10 @@
         std::uint64_t covered_era = 0;
         bool renewal_running = false;
         time_point next_renewal_at{};
+        /// The members as this host last stored or read them as the gateway of the primary.
+        std::optional<group_members> stored_members;
+        bool storing_members = false;
+        time_point next_storing_at{};
     };
 
     /// Commands of one attempt that still wait for their answers, by instance.
@@ -186,6 +211,10 @@
     void renew_claim_if_due(const std::string& group, time_point now);
     task<void> renew_claim(std::string group, known_primary primary);
     task<bool> write_renewed_claim(std::string group, known_primary primary);
+    void store_members_if_due(const std::string& group, time_point now);
+    task<void> store_members(std::string group);
+    task<bool> write_current_members(std::string group);
+    group_members current_members(const std::string& group);
     void update_roster(const std::string& group, time_point now);
     void settle_roster(const std::string& group, const std::string& primary, time_point now);
     bool completes_roster(const std::string& group, time_point now);
@@ -195,6 +224,7 @@
         const std::string& group, const std::string& primary,
         const std::function<void(const std::string& replica,
                                  const std::optional<replication_status>& status)>& on_answer);
+    task<bool> merge_stored_members(std::string group, failover_claim claim);
     bool can_account_for_members(const std::string& group, failover_reason reason) const;
     void log_waiting(const std::string& group, group_state& state);
     void log_claim(const std::string& group, const stored_claim& present);
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -352,6 +352,14 @@
     }
 }
 
+// A host that starts later accounts for the stored members only. Without knowing them, as while the
+// platform is away, this host relies on the list.
+bool upstream_router::is_stored(const std::string& group, const std::string& instance) const {
+    const std::set<std::string>* stored =
+        m_sources.stored_members ? m_sources.stored_members(group) : nullptr;
+    return stored == nullptr || stored->contains(instance);
+}
+
 bool upstream_router::commits_need_confirmation(const std::string& group,
                                                 const std::string& instance, duration took) {
     if (commits_without_replicas(group) || !has_replicas(m_directory, group, instance)) {
@@ -360,7 +368,8 @@
     const established_replicas& replicas = established_in(group);
     const upstream_list& members = m_directory.members(group);
     const bool has_new = std::any_of(members.begin(), members.end(), [&](const auto& entry) {
-        return entry.first != instance && !replicas.is_established(entry.first);
+        return entry.first != instance &&
+               !(replicas.is_established(entry.first) && is_stored(group, entry.first));
     });
     const time_point now = event_loop::now();
     return has_new || took > delayed_commit_threshold || !replicas.in_contact(instance, now) ||
@@ -407,7 +416,7 @@
                          const auto primary = m_directory.primary(group);
                          if (status && primary && primary->instance == instance &&
                              established_in(group).is_established(replica) &&
-                             confirms_leadership(*status, *primary)) {
+                             is_stored(group, replica) && confirms_leadership(*status, *primary)) {
                              std::vector<commit_request> confirmed;
                              std::erase_if(
                                  m_commit_rounds[group].waiting, [&](commit_request& request) {
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -32,6 +32,8 @@
 struct leadership_sources {
     /// The group's instances that may be running, listed or not.
     std::function<std::set<std::string>(const std::string& group)> members;
+    /// The members that are stored on the platform; nullptr if this host doesn't know them.
+    std::function<const std::set<std::string>*(const std::string& group)> stored_members;
     std::function<bool()> platform_reachable;
     /// Reads the group's claim; empty if the platform doesn't answer. `complete` is set only if the
     /// claim covers all promotions up to now; its promoted term is `any_term` if the members can't
@@ -236,6 +238,7 @@
     void record_status(const std::string& instance, const replication_status& status,
                        time_point requested_at);
     bool commits_without_replicas(const std::string& group) const;
+    bool is_stored(const std::string& group, const std::string& instance) const;
     std::vector<std::string> confirming_replicas(const std::string& group,
                                                  const std::string& primary);
 
--- a/test/group_roster_test.cpp
+++ b/test/group_roster_test.cpp
@@ -241,3 +241,32 @@
         REQUIRE_FALSE(roster.is_complete());
     }
 }
+
+TEST_CASE("members that an earlier host has stored") {
+    group_roster roster;
+    roster.update({{"j", {}}, {"p", {}}}, start);
+    const group_members stored{"p", {"i", "j", "k", "p"}, {"i"}, 0};
+    roster.merge(stored, start);
+    const time_point due = start + group_roster::detection_time;
+    const auto update = [&](time_point now) { roster.update({{"j", {}}, {"p", {}}}, now); };
+
+    SECTION("are members though this host has never seen them listed") {
+        update(start + milliseconds(50));
+        REQUIRE(roster.members() == members{"i", "j", "k", "p"});
+        REQUIRE(roster.leaving() == members{"i"});
+    }
+    SECTION("are left out once another replica has all that a leaver had, and not merged again") {
+        update(due);
+        REQUIRE(roster.awaits_answers());
+        roster.record_answer("p", primary_at_27, true, due);
+        roster.record_answer("j", replica_at_27, true, due);
+        update(due);
+        REQUIRE(roster.members() == members{"j", "k", "p"});
+        roster.merge(stored, due);
+        REQUIRE(roster.members() == members{"j", "k", "p"});
+    }
+    SECTION("are forgotten if they don't come back for as long as a cut is expected to last") {
+        update(start + group_roster::unlisted_retention + milliseconds(1));
+        REQUIRE(roster.members() == members{"j", "p"});
+    }
+}
--- a/test/model/failover_fixture.hpp
+++ b/test/model/failover_fixture.hpp
@@ -15,12 +15,14 @@
 /// What the platform's store holds.
 struct stored_objects {
     stored_claim claim;
+    stored_members members;
 };
 
 /// A host that can't reach the primary "p", with a fake platform.
 struct failover_fixture {
     single_host host;
     stored_claim stored;
+    stored_members members;
     int reads = 0;
     store_era era;
     std::vector<failover_claim> written;
@@ -30,8 +32,11 @@
     duration write_delay{0};
     std::vector<time_point> written_at;
 
-    stored_objects objects() const { return {stored}; }
-    void restore(const stored_objects& objects) { stored = objects.claim; }
+    stored_objects objects() const { return {stored, members}; }
+    void restore(const stored_objects& objects) {
+        stored = objects.claim;
+        members = objects.members;
+    }
     bool finished() const {
         return !written.empty() && written.back().finished && !written.back().successor.empty();
     }
@@ -41,6 +46,7 @@
 
     failover_fixture() {
         stored.succeeded = true;
+        members.succeeded = true;
         host.directory.primary_tracker_for("g").record_primary("p", 1);
         host.directory.remove_expired(event_loop::now());
         host.pools["p"].reachable = false;
@@ -67,6 +73,15 @@
             on_written();
             co_return stored;
         };
+        platform.read_members = [this](std::string) -> task<stored_members> { co_return members; };
+        platform.write_members = [this](std::string, store_position expected,
+                                        group_members next) -> task<stored_members> {
+            if (expected != members.position) {
+                co_return stored_members{};
+            }
+            members = {true, {era.number, members.position.revision + 1}, std::move(next)};
+            co_return members;
+        };
         platform.promote = [this](std::string, std::string instance,
                                   std::uint64_t) -> task<promotion_result> {
             promoted.push_back(instance);
--- a/test/platform/platform_documents_test.cpp
+++ b/test/platform/platform_documents_test.cpp
@@ -91,6 +91,15 @@
     REQUIRE_THROWS_AS(read_claim(R"({"term":"five"})"), input_error);
 }
 
+TEST_CASE("encoded members of a group decode to the same members") {
+    const group_members members{"i-1", {"i-1", "i-\"2\"", "i-3"}, {"i-3"}, 4};
+    REQUIRE(read_members(write_members(members)) == members);
+    REQUIRE(read_members(write_members({})) == group_members{});
+    REQUIRE_THROWS_AS(read_members(R"({"primary":"i-1","members":"i-1"})"), input_error);
+    REQUIRE_THROWS_AS(read_members(R"({"primary":"i-1","members":[1],"leaving":[],"era":0})"),
+                      input_error);
+}
+
 TEST_CASE("the settings of a front host are validated") {
     SECTION("valid settings are read") {
         const auto read = read_front_settings(valid_settings);
--- a/test/platform/restored_store_test.cpp
+++ b/test/platform/restored_store_test.cpp
@@ -189,3 +189,30 @@
         }
     }
 }
+
+TEST_CASE("members of a group in the store") {
+    restored_store_fixture test;
+    claim_store claims(test.client);
+    const stored_members none = test.run(claims.read_members("g"));
+    REQUIRE(none.succeeded);
+    REQUIRE_FALSE(none.is_current());
+    const group_members members{"p", {"p", "r"}, {"r"}, none.position.era};
+    const stored_members first = test.run(claims.write_members("g", none.position, members));
+    REQUIRE(first.succeeded);
+
+    SECTION("are read as they were written") {
+        const stored_members found = test.run(claims.read_members("g"));
+        REQUIRE(found.is_current());
+        REQUIRE(found.members == members);
+    }
+    SECTION("are not overwritten by a host that has read earlier ones") {
+        REQUIRE_FALSE(test.run(claims.write_members("g", none.position, members)).succeeded);
+    }
+    SECTION("are not used if they can't be read, but can be replaced") {
+        test.store.write("bronzeplank-members", "g", R"({"members":7})");
+        const stored_members odd = test.run(claims.read_members("g"));
+        REQUIRE(odd.succeeded);
+        REQUIRE_FALSE(odd.is_current());
+        REQUIRE(test.run(claims.write_members("g", odd.position, members)).succeeded);
+    }
+}
--- a/test/session/upstream_router_test.cpp
+++ b/test/session/upstream_router_test.cpp
@@ -191,6 +191,25 @@
         REQUIRE(confirmed == true);
         REQUIRE(host.commands.empty());
     }
+    SECTION("waits for one that is stored as a member: a host that starts later knows no other") {
+        REQUIRE(leadership_confirmed(host));
+        std::set<std::string> stored{"p"};
+        leadership_sources sources;
+        sources.stored_members = [&](const std::string&) { return &stored; };
+        host.router.set_leadership_sources(sources);
+        host.reports["r"].received = {1, 30};
+        confirm();
+        REQUIRE_FALSE(confirmed);
+        SECTION("which it may become meanwhile") {
+            stored.insert("r");
+            REQUIRE(host.run_until([&] { return confirmed.has_value(); }));
+            REQUIRE(confirmed == true);
+        }
+        SECTION("and whose outcome is unknown otherwise") {
+            REQUIRE(host.run_until([&] { return confirmed.has_value(); }));
+            REQUIRE(confirmed == false);
+        }
+    }
     SECTION("which hung waits for one that has it: an unknown instance may have acknowledged it") {
         REQUIRE(leadership_confirmed(host));
         host.router.confirm_commit("g", "p", {1, 30}, std::chrono::milliseconds(200),
