Members are read only by a host that may claim the group

Hosts that wait for another's claim asked the store for the members at each attempt. They are read once the claim is free.

--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -64,7 +64,8 @@
         co_return false;
     }
     log_claim(attempt.group, present);
-    if (!co_await merge_stored_members(attempt.group, present.claim)) {
+    if (may_be_held(attempt.group, present, event_loop::now()) ||
+        !co_await merge_stored_members(attempt.group, present.claim)) {
         co_return false;
     }
     group_state& state = m_groups[attempt.group];
@@ -73,9 +74,6 @@
         co_return false;
     }
     const time_point now = event_loop::now();
-    if (may_be_held(attempt.group, present, now)) {
-        co_return false;
-    }
     // Two holders never promote within one lease, so that no command of the first comes late.
     const known_primary last{state.last_primary, state.last_term};
     const bool promoted_here = state.promoted_here == last ||
