--- a/src/core/group_roster.cpp
+++ b/src/core/group_roster.cpp
@@ -15,12 +15,14 @@
         known_member& known = entry->second;
         known.listed = true;
         known.leaving = seen.leaving;
+        known.address = seen.address;
         known.last_listed = now;
         known.after_exit = {};
         if (seen.reachable || added) {
             known.last_reachable = now;
         }
     }
+    note_replaced(listed);
     for (const auto& [id, known] : m_members) {
         if (is_obsolete(known, now)) {
             m_left_out[id] = now;
@@ -49,6 +51,22 @@
     }
 }
 
+// An instance that crashed comes back under another id at the address that it had: the process
+// that was known by the former id is gone.
+void group_roster::note_replaced(const std::map<std::string, listed_member>& listed) {
+    for (auto& [id, known] : m_members) {
+        const bool replaced = !known.listed && known.address.port != 0 &&
+                              std::any_of(listed.begin(), listed.end(),
+                                          [&, address = known.address](const auto& entry) {
+                                              return entry.second.address == address;
+                                          });
+        if (replaced) {
+            known.leaving = true;
+            known.last_reachable = known.last_listed;
+        }
+    }
+}
+
 // The platform drops the entry of an instance that exits at once, and that of a silent one only
 // after several heartbeat intervals. By then, hosts have found the latter unreachable.
 bool group_roster::exited(const known_member& known) {
--- a/test/group_roster_test.cpp
+++ b/test/group_roster_test.cpp
@@ -37,6 +37,38 @@
     }
 }
 
+// A group could not be failed over for ten minutes after one of its instances had crashed.
+TEST_CASE("an instance that crashes and comes back under another id") {
+    const endpoint address{"10.0.0.1", 80};
+    group_roster roster;
+    roster.update({{"i", {.address = address}}, {"j", {}}, {"p", {}}}, start);
+    const time_point crashed = start + seconds(1);
+    roster.update({{"j", {}}, {"p", {}}}, crashed);
+    const time_point back = crashed + seconds(5);
+    const auto come_back = [&](const endpoint& at, time_point now) {
+        roster.update({{"i2", {.address = at}}, {"j", {}}, {"p", {}}}, now);
+    };
+    const auto report = [&](time_point now) {
+        roster.record_answer("p", primary_at_27, true, now);
+        roster.record_answer("j", replica_at_27, true, now);
+    };
+
+    SECTION("is left out by its former id once another replica has all that it had") {
+        come_back(address, back);
+        REQUIRE(roster.members() == members{"i", "i2", "j", "p"});
+        REQUIRE(roster.leaving() == members{"i"});
+        report(back);
+        come_back(address, back + milliseconds(50));
+        REQUIRE(roster.members() == members{"i2", "j", "p"});
+    }
+    SECTION("stays a member by its former id at another address: it may run on there") {
+        come_back({"10.0.0.2", 80}, back);
+        report(back);
+        come_back({"10.0.0.2", 80}, back + milliseconds(50));
+        REQUIRE(roster.members() == members{"i", "i2", "j", "p"});
+    }
+}
+
 TEST_CASE("an instance that leaves, of a group with the primary p and the replicas j and k") {
     const duration detection = group_roster::detection_time;
     const time_point leaves = start + seconds(5);
