--- a/include/bronzeplank/demand_share.hpp
+++ b/include/bronzeplank/demand_share.hpp
@@ -82,6 +82,7 @@
     double m_demand = 0;
     time_point m_demand_updated_at{};
     double m_demand_at_exchange = 0;
+    double m_demand_at_previous_exchange = 0;
     /// The time between the last two exchanges.
     double m_exchange_seconds = 0;
     /// 0 until the first operation, which finds a full bucket.
--- a/src/core/demand_share.cpp
+++ b/src/core/demand_share.cpp
@@ -22,10 +22,12 @@
 constexpr double max_exchange_seconds = 1.0;
 // A host with little demand uses its tokens at random times; it keeps up to this many.
 constexpr double max_carried_over = 2.0;
-// How far a host's demand may rise between two exchanges for its share to follow at once, as a
-// factor, and in operations a second on a host without demand before.
+// How far a host's demand may rise since the last exchange, and since the one before, for its share
+// to follow at once: as a factor, and in operations a second on a host without demand before.
 constexpr double max_demand_rise = 1.5;
 constexpr double new_demand = 0.5;
+constexpr double max_demand_rise_of_two = 2.0;
+constexpr double new_demand_of_two = 1.0;
 // A host that has been unreachable for this long counts as a new one.
 constexpr std::chrono::minutes peer_retention{1};
 
@@ -109,7 +111,7 @@
     m_tokens = std::max(m_tokens, -m_burst);
     m_exchange_seconds = std::min(max_exchange_seconds, seconds_between(m_exchanged_at, now));
     m_exchanged_at = now;
-    m_demand_at_exchange = demand(now);
+    m_demand_at_previous_exchange = std::exchange(m_demand_at_exchange, demand(now));
     m_admitted_since_exchange = 0;
 }
 
@@ -118,9 +120,11 @@
 }
 
 double demand_share::current_share(time_point now) const {
-    // The other hosts' demand is as old as the exchange. A sudden rise that all hosts see must not
-    // let each of them take it for its own.
-    const double own = std::min(demand(now), max_demand_rise * m_demand_at_exchange + new_demand);
+    // The other hosts' demand is as old as the exchange, and some of it a report interval older. A
+    // sudden rise that all hosts see must not let each of them take it for its own.
+    const double own =
+        std::min({demand(now), max_demand_rise * m_demand_at_exchange + new_demand,
+                  max_demand_rise_of_two * m_demand_at_previous_exchange + new_demand_of_two});
     const double total = own + m_peer_demand;
     const auto hosts = static_cast<double>(m_reachable_hosts);
     // Below one operation a second there is no demand to follow: the shares are equal.
--- a/test/demand_share_test.cpp
+++ b/test/demand_share_test.cpp
@@ -1,4 +1,5 @@
 #include "bronzeplank/demand_share.hpp"
+#include "bronzeplank/heartbeat_interval.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -31,8 +32,9 @@
 class reporting_hosts {
 public:
     reporting_hosts(std::size_t count, duration interval)
-        : m_interval(interval), m_shares(count), m_reports(count, std::vector<report>(count)),
-          m_cut_off(count), m_next(count) {
+        : m_interval(interval), m_timeout(heartbeat_timeout_for(heartbeat_interval_for(count))),
+          m_shares(count), m_reports(count, std::vector<report>(count)), m_cut_off(count),
+          m_next(count) {
         for (std::size_t i = 0; i < count; ++i) {
             m_next[i] = start + interval * i / count;
         }
@@ -70,8 +72,6 @@
         time_point received_at = start - std::chrono::hours(1);
     };
 
-    static constexpr milliseconds timeout{650};
-
     void send_report(std::size_t sender, time_point now) {
         for (std::size_t other = 0; other < size(); ++other) {
             if (m_cut_off[sender] == m_cut_off[other]) {
@@ -85,7 +85,7 @@
         std::vector<peer_usage> peers;
         for (std::size_t other = 0; other < size(); ++other) {
             const report& latest = m_reports[index][other];
-            if (other != index && now - latest.received_at <= timeout) {
+            if (other != index && now - latest.received_at <= m_timeout) {
                 peers.push_back({std::to_string(other), latest.demand, latest.admitted});
             }
         }
@@ -93,6 +93,8 @@
     }
 
     duration m_interval;
+    /// A host that has not reported for longer counts as unreachable.
+    duration m_timeout;
     std::vector<demand_share> m_shares;
     /// By receiver and sender.
     std::vector<std::vector<report>> m_reports;
