Members that were stored in an earlier era of the store are accounted for

What callers would see: LOST, once all hosts have started again after a restoration and before a gateway has stored the members anew.

Cause: a host ignored the stored members if they were of another era. They may lack an instance, but each that they name may have commits.

Evidence: stored_members_test, the case of a restored store, failed.

Change: members are merged whatever their era; the primary is taken from those of the present era only.

--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -381,9 +381,7 @@
         co_return false;
     }
     group_state& state = m_groups[group];
-    if (present.is_current()) {
-        state.roster.merge(present.members, event_loop::now());
-    }
+    state.roster.merge(present.members, event_loop::now());
     const group_members wanted = current_members(group);
     if (present.position.revision == 0 || present.members != wanted) {
         const stored_members written =
@@ -404,12 +402,11 @@
         co_return false;
     }
     group_state& state = m_groups[group];
-    if (present.is_current()) {
-        state.roster.merge(present.members, event_loop::now());
-        if (state.last_primary.empty()) {
-            const bool led = claim.finished && !claim.successor.empty();
-            state.last_primary = led ? claim.successor : present.members.primary;
-        }
+    // The members of an earlier era may lack some, but all that they name may have commits.
+    state.roster.merge(present.members, event_loop::now());
+    if (present.is_current() && state.last_primary.empty()) {
+        const bool led = claim.finished && !claim.successor.empty();
+        state.last_primary = led ? claim.successor : present.members.primary;
     }
     co_return true;
 }
