A host that knows only an earlier primary accounts for it (LOST)

What callers would see: LOST. A host that had started since the last change of primary, or heard of the one before from others, replaced the earlier one, whose log had commits of the newer one.

Cause: one instance is left out of account, the primary that is replaced. If the newer primary's entry had expired, that was the earlier one, which follows the newer one and may have its only other copy. The claim names the newer one, but a host used it only while that one was listed.

Evidence: stored_members_test, the case of a claim that names a newer primary, failed with and without a finished claim.

Change: the newest primary that a claim names is the one that is left out while it is unlisted, if the claim covers all promotions.

Result: that case passes (6 of 20 assertions of stored_members_test still fail); new_hosts_test and failover_service_test pass (135 assertions).

--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -69,6 +69,9 @@
         co_return false;
     }
     group_state& state = m_groups[attempt.group];
+    if (present.covers_promotions()) {
+        state.claimed_primary = {present.claim.successor, present.claim.promoted_term};
+    }
     if (!can_account_for_members(attempt.group, attempt.reason)) {
         log_waiting(attempt.group, state);
         co_return false;
@@ -118,7 +121,7 @@
         choice.members.insert(id);
     }
     choice.members_complete = state.roster.is_complete();
-    choice.old_primary = state.last_primary;
+    choice.old_primary = replaced_primary(state);
     choice.acknowledged = newest_acknowledged(attempt.group);
     choice.old_primary_unfit = primary_answers(attempt.reason);
     return choice;
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -219,6 +219,15 @@
     }
 }
 
+// Without the newer one, the last known primary would be taken for the only instance that may be
+// left out, though it may follow the newer one and have its commits.
+std::string failover_service::replaced_primary(const group_state& state) const {
+    const known_primary& claimed = state.claimed_primary;
+    const bool newer = claimed.term > state.last_term && !claimed.instance.empty();
+    return newer && m_directory.instance(claimed.instance) == nullptr ? claimed.instance
+                                                                      : state.last_primary;
+}
+
 // Whether a failover can succeed as far as this host can tell. One that can't would only pause
 // replicas that the old primary may need.
 bool failover_service::can_account_for_members(const std::string& group,
@@ -233,9 +242,9 @@
         }
     }
     const group_state& state = m_groups.at(group);
-    return accounts_for_members(state.roster.members(), reachable, state.last_primary,
-                                reason == failover_reason::missing &&
-                                    reachable.contains(state.last_primary));
+    const std::string replaced = replaced_primary(state);
+    return accounts_for_members(state.roster.members(), reachable, replaced,
+                                reason == failover_reason::missing && reachable.contains(replaced));
 }
 
 void failover_service::log_waiting(const std::string& group, group_state& state) {
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -138,6 +138,8 @@
         /// The last known primary; it may be unlisted.
         std::string last_primary;
         std::uint64_t last_term = 0;
+        /// The newest primary that a claim names; its promotion may not have taken effect.
+        known_primary claimed_primary;
         /// When this host learned that it leads.
         time_point primary_since{};
         /// The last primary that this host promoted itself.
@@ -225,6 +227,8 @@
         const std::function<void(const std::string& replica,
                                  const std::optional<replication_status>& status)>& on_answer);
     task<bool> merge_stored_members(std::string group, failover_claim claim);
+    /// The primary that a failover replaces: the last known one, or a newer one that is unlisted.
+    std::string replaced_primary(const group_state& state) const;
     bool can_account_for_members(const std::string& group, failover_reason reason) const;
     void log_waiting(const std::string& group, group_state& state);
     void log_claim(const std::string& group, const stored_claim& present);
