--- /dev/null
+++ b/test/session/fallback_primary_test.cpp
@@ -0,0 +1,66 @@
+#include "model/failover_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace bronzeplank;
+using model::failover_fixture;
+using model::make_status;
+
+namespace {
+
+void run_for(failover_fixture& test, duration time) {
+    const time_point end = event_loop::now() + time;
+    while (event_loop::now() < end) {
+        test.host.run_until([&] { return event_loop::now() >= end; });
+    }
+}
+
+} // namespace
+
+// "n" has led term 2 after "p", and has left the list; the host never saw "p" as a replica.
+TEST_CASE("a newer primary has left the list, and the one before it counts as the primary") {
+    failover_fixture test;
+    const auto promoted = [&] { return !test.promoted.empty(); };
+    test.host.directory.upsert_instance(model::listed_instance("n", true));
+    test.host.directory.primary_tracker_for("g").record_primary("n", 2);
+    test.host.reports["n"] = {replication_role::primary, 2, {2, 30}, 0};
+    test.host.reports["r"] = {replication_role::replica, 2, {1, 27}, 0};
+    test.service->start();
+    run_for(test, std::chrono::milliseconds(300));
+    REQUIRE(test.host.directory.primary("g") == known_primary{"n", 2});
+    test.host.reports.erase("n");
+    test.host.directory.remove_instance("n", event_loop::now());
+    REQUIRE(test.host.directory.primary("g") == known_primary{"p", 1});
+
+    SECTION("while that one is out of reach") {
+        SECTION("nobody is promoted, since either may have acknowledged with the other") {
+            run_for(test, std::chrono::milliseconds(4500));
+            REQUIRE_FALSE(promoted());
+        }
+        SECTION("the newer one counts again once it has started under another id") {
+            upstream_instance again = model::listed_instance("n2", true);
+            test.host.directory.upsert_instance(again);
+            test.host.reports["n2"] = {replication_role::primary, 2, {2, 30}, 0};
+            test.host.directory.primary_tracker_for("g").record_primary("n2", 2);
+            run_for(test, std::chrono::milliseconds(4500));
+            REQUIRE_FALSE(promoted());
+            REQUIRE(test.host.directory.primary("g") == known_primary{"n2", 2});
+        }
+    }
+    SECTION("and turns out to follow the newer one") {
+        test.host.pools["p"].reachable = true;
+        test.host.reports["p"] = {replication_role::replica, 2, {2, 30}, 0};
+        test.host.directory.upsert_instance(model::listed_instance("p", false));
+        SECTION("it is promoted, as it has what the newer one has acknowledged") {
+            run_for(test, std::chrono::milliseconds(4500));
+            REQUIRE(promoted());
+            REQUIRE(test.promoted.front() == "p");
+        }
+        SECTION("nobody is promoted while another replica is out of reach") {
+            test.host.directory.upsert_instance(model::listed_instance("s", false));
+            test.host.pools["s"].reachable = false;
+            run_for(test, std::chrono::milliseconds(4500));
+            REQUIRE_FALSE(promoted());
+        }
+    }
+}
