--- a/test/model/failover_fixture.hpp
+++ b/test/model/failover_fixture.hpp
@@ -42,6 +42,7 @@
     }
     std::function<void()> on_refresh = [] {};
     std::function<void()> on_written = [] {};
+    std::function<void(const std::string& instance)> on_promotion = [](const std::string&) {};
     std::unique_ptr<failover_service> service;
 
     failover_fixture() {
@@ -85,6 +86,7 @@
         platform.promote = [this](std::string, std::string instance,
                                   std::uint64_t) -> task<promotion_result> {
             promoted.push_back(instance);
+            on_promotion(instance);
             if (promotion_result_to_give == promotion_result::refused) {
                 co_return promotion_result::refused;
             }
