--- a/include/bronzeplank/failover.hpp
+++ b/include/bronzeplank/failover.hpp
@@ -82,6 +82,8 @@
     bool members_complete = true;
     /// The old primary can't do its work, although it answers.
     bool old_primary_unfit = false;
+    /// The instance whose promotion an unfinished claim may have requested.
+    std::string requested_before;
 };
 
 /// Whether no two of the members can acknowledge a commit together any more: all but the old
@@ -90,7 +92,8 @@
                           const std::set<std::string>& accounted, const std::string& old_primary,
                           bool old_primary_demoted);
 
-/// Returns the replica with the highest received position; of equals, a preferred one. Returns
+/// Returns the replica with the highest received position; of equals, the one whose promotion may
+/// have been requested before, since that may still take effect, or a preferred one. Returns
 /// nothing if its log lacks an acknowledged commit, or while the old primary, unless it is demoted,
 /// could acknowledge a commit with an instance that has not confirmed its pause. That hosts can't
 /// reach such an instance doesn't matter: the old primary may. An unfit old primary, demoted, is
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 
 namespace bronzeplank {
 
@@ -91,11 +92,13 @@
         });
     }
     const auto received = [](const paused_replica& replica) { return replica.status.received; };
-    const auto best = std::max_element(candidates.begin(), candidates.end(),
-                                       [&](const auto& left, const auto& right) {
-                                           return std::pair(received(left), left.preferred) <
-                                                  std::pair(received(right), right.preferred);
-                                       });
+    const auto rank = [&](const paused_replica& replica) {
+        return std::tuple(received(replica), replica.instance == choice.requested_before,
+                          replica.preferred);
+    };
+    const auto best = std::max_element(
+        candidates.begin(), candidates.end(),
+        [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
     if (best == candidates.end() || received(*best) < choice.acknowledged) {
         return std::nullopt;
     }
--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -98,6 +98,7 @@
     attempt.lease_end = now + claim_lease;
     attempt.listed_at = now;
     attempt.promoted_before = present.claim.promoted_term;
+    attempt.requested_before = present.claim.finished ? "" : present.claim.successor;
     attempt.promoted_term = present.claim.promoted_term;
     attempt.complete = present.covers_promotions();
     const failover_claim wanted{attempt.term,    m_router.host(),       "",
@@ -121,6 +122,7 @@
     choice.old_primary = state.last_primary;
     choice.acknowledged = newest_acknowledged(attempt.group);
     choice.old_primary_unfit = primary_answers(attempt.reason);
+    choice.requested_before = attempt.requested_before;
     return choice;
 }
 
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -181,6 +181,8 @@
         /// The newest term that may have been promoted before this attempt, and as stored now.
         std::uint64_t promoted_before = 0;
         std::uint64_t promoted_term = 0;
+        /// The successor of the claim before, if it wasn't finished.
+        std::string requested_before;
         /// Whether `promoted_term` covers the promotions of earlier eras of the store.
         bool complete = true;
         /// The claim's position after its last write.
