--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -138,9 +138,10 @@
             [commands = attempt.commands, id, pauses,
              term = attempt.term](const std::optional<replication_status>& status) {
                 commands->pending.erase(id);
+                const bool is_replica = status && status->role == replication_role::replica;
+                commands->old_primary_demoted |= !pauses && is_replica;
                 // A former primary that hasn't stepped down yet takes no pause.
-                const bool confirmed = status && status->role == replication_role::replica &&
-                                       (!pauses || status->paused_by >= term);
+                const bool confirmed = pauses && is_replica && status->paused_by >= term;
                 if (confirmed && commands->confirmed.emplace(id, *status).second) {
                     commands->confirmed_at = event_loop::now();
                 }
@@ -150,15 +151,26 @@
         attempt.pause_requested.insert(replica);
         request(replica, replication_command::pause);
     }
-    if (primary_answers(attempt.reason) && waited >= demotion_delay) {
+    if (attempt.commands->old_primary_demoted) {
+        // Another primary, promoted unseen, could acknowledge commits with it.
+        attempt.pause_requested.insert(attempt.old_primary);
+        request(attempt.old_primary, replication_command::pause);
+    } else if (primary_answers(attempt.reason) && waited >= demotion_delay) {
         request(attempt.old_primary, replication_command::demote);
     }
 }
 
+// The members but the old primary, and that one too if a pause was sent to it.
+std::vector<std::string>
+failover_service::replicas_to_pause(const failover_attempt& attempt) const {
+    const bool includes_old = attempt.pause_requested.contains(attempt.old_primary);
+    return other_members(attempt.group, includes_old ? "" : attempt.old_primary);
+}
+
 // Until the settling time after the last pause has passed, hosts may still acknowledge commits that
 // only the old primary and an instance have that registered meanwhile.
 bool failover_service::is_list_current(const failover_attempt& attempt) const {
-    return attempt.old_primary_demoted ||
+    return attempt.commands->confirmed.contains(attempt.old_primary) ||
            attempt.listed_at >= attempt.commands->confirmed_at + settling_time;
 }
 
@@ -195,7 +207,6 @@
     const time_point started = event_loop::now();
     for (;;) {
         const time_point now = event_loop::now();
-        attempt.old_primary_demoted = attempt.commands->confirmed.contains(attempt.old_primary);
         if (!is_still_required(attempt) || !lease_valid(attempt)) {
             co_return std::string();
         }
@@ -228,8 +239,9 @@
 
 bool failover_service::is_still_required(const failover_attempt& attempt) const {
     const auto primary = m_directory.primary(attempt.group);
-    const bool changed = primary ? primary->instance != attempt.old_primary
-                                 : !attempt.old_primary.empty() && !attempt.old_primary_demoted;
+    const bool changed =
+        primary ? primary->instance != attempt.old_primary
+                : !attempt.old_primary.empty() && !attempt.commands->old_primary_demoted;
     if (changed) {
         return false;
     }
@@ -264,9 +276,6 @@
     std::size_t needed = 0;
     const time_point deadline = event_loop::now() + verification_timeout;
     for (const auto& [replica, status] : attempt.commands->confirmed) {
-        if (replica == attempt.old_primary) {
-            continue;
-        }
         ++needed;
         m_router.send_command(replica, replication_command::pause, attempt.term,
                               [holding, before = status,
@@ -335,7 +344,7 @@
     if (!lease_valid(attempt)) {
         return;
     }
-    for (const auto& replica : other_members(attempt.group, attempt.old_primary)) {
+    for (const auto& replica : replicas_to_pause(attempt)) {
         if (replica != successor) {
             m_router.send_command(replica, replication_command::pause, attempt.promoted_term,
                                   [](const std::optional<replication_status>&) {});
@@ -393,7 +402,7 @@
     auto waiting = std::make_shared<std::set<std::string>>();
     auto asked = std::make_shared<std::set<std::string>>();
     auto paused = std::make_shared<std::set<std::string>>();
-    for (const auto& replica : other_members(attempt.group, attempt.old_primary)) {
+    for (const auto& replica : replicas_to_pause(attempt)) {
         if (replica != successor) {
             waiting->insert(replica);
         }
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -166,6 +166,8 @@
         std::set<std::string> resumes_pending;
         /// A resume command has got no answer, so that it may still arrive.
         bool resume_unanswered = false;
+        /// The old primary was demoted before the promotion, and has confirmed it.
+        bool old_primary_demoted = false;
         /// The old primary has confirmed that it is a replica.
         bool old_primary_stepped_down = false;
     };
@@ -194,7 +196,6 @@
         /// Replicas that a pause command was sent to, whether they have answered or not.
         std::set<std::string> pause_requested;
         std::vector<paused_replica> paused;
-        bool old_primary_demoted = false;
         std::shared_ptr<command_progress> commands = std::make_shared<command_progress>();
     };
 
@@ -235,6 +236,7 @@
     task<bool> resume_paused_replicas(failover_attempt& attempt);
     task<std::string> pause_and_choose_successor(failover_attempt& attempt);
     void request_pauses(failover_attempt& attempt, duration waited);
+    std::vector<std::string> replicas_to_pause(const failover_attempt& attempt) const;
     bool is_list_current(const failover_attempt& attempt) const;
     failover_choice current_choice(const failover_attempt& attempt) const;
     task<bool> store_successor(failover_attempt& attempt, std::string successor,
