--- a/test/model/failover_instances.hpp
+++ b/test/model/failover_instances.hpp
@@ -114,6 +114,11 @@
         const auto found = m_instances.find(id);
         return found != m_instances.end() && found->second.leaving;
     }
+    /// The instance's domain, or none if it has left.
+    std::optional<int> domain_of(const std::string& id) const {
+        const auto found = m_instances.find(id);
+        return found == m_instances.end() ? std::nullopt : std::optional(found->second.domain);
+    }
     std::uint64_t leading_term() const { return m_leading_term; }
     const std::vector<int>& leading_log() const { return m_leading_log; }
 
@@ -127,14 +132,21 @@
     void replace_primary() {
         for (auto& [id, instance] : m_instances) {
             if (instance.primary && instance.running && !instance.leaving) {
-                instance.leaving = true;
-                instance.exits_at = m_now + std::chrono::seconds(3) + step * m_random.pick(100);
-                add(instance.domain, m_now + step * m_random.pick(3));
+                replace(instance);
                 return;
             }
         }
     }
 
+    /// A replacement joins in the domain of a replica, which leaves some time later.
+    void replace_replica() {
+        auto entry = m_instances.begin();
+        std::advance(entry, m_random.pick(static_cast<int>(m_instances.size())));
+        if (!entry->second.primary) {
+            replace(entry->second);
+        }
+    }
+
     void crash_one() {
         auto entry = m_instances.begin();
         std::advance(entry, m_random.pick(static_cast<int>(m_instances.size())));
@@ -217,6 +229,12 @@
         return taken;
     }
 
+    /// A domain's host has ended: nobody waits for the answers to its commands and commits.
+    void drop_calls(int domain) {
+        std::erase_if(m_answers, [&](const auto& one) { return one.command.domain == domain; });
+        std::erase_if(m_commits, [&](const auto& one) { return one.domain == domain; });
+    }
+
     /// Whether the platform accepts the successor; it leads some time later.
     bool promote(const std::string& id, std::uint64_t term, std::uint64_t token) {
         if (token < m_newest_token || find(id) == nullptr) {
@@ -266,6 +284,14 @@
         time_point effective_at;
     };
 
+    void replace(instance_state& instance) {
+        if (instance.running && !instance.leaving) {
+            instance.leaving = true;
+            instance.exits_at = m_now + std::chrono::seconds(3) + step * m_random.pick(100);
+            add(instance.domain, m_now + step * m_random.pick(3));
+        }
+    }
+
     void add(int domain, time_point listed_at) {
         const std::string id = "i" + std::to_string(m_next_id++);
         m_instances[id].domain = domain;
--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -2,8 +2,9 @@
 /// A model of one group across three failure domains, each with a host that serves callers and may
 /// fail the group over. Any host may start a failover at any time, links are cut in one or both
 /// directions, commands are late, commits hang, instances are replaced, crash and start again, and
-/// hosts stand still; on request the platform's store is restored from older copies. The model
-/// knows every acknowledgement and every read, and counts those that broke a promise.
+/// hosts stand still; on request hosts start again, one or all at once, and the platform's store is
+/// restored from older copies. The model knows every acknowledgement and every read, and counts
+/// those that broke a promise.
 #pragma once
 
 #include "bronzeplank/established_replicas.hpp"
@@ -48,7 +49,9 @@
     /// A group is claimed at once after a restoration, whatever claims may be missing.
     wait_for_earlier_leases,
     /// The claim's revision alone is the fencing token.
-    order_tokens_by_era
+    order_tokens_by_era,
+    /// The group's members aren't stored: a host that has started lately knows the listed ones.
+    store_members
 };
 
 using omitted_rules = std::set<omitted_rule>;
@@ -56,19 +59,24 @@
 /// Whether the platform's store is restored from older copies, and executes some writes late.
 enum class store_behavior { keeps_all, is_restored };
 
+/// Whether hosts start again, knowing only what the platform and their peers tell them.
+enum class host_behavior { keep_running, start_again };
+
 /// Usage: `failover_model model(seed, {}); model.run(steps); model.lost();`
 class failover_model {
 public:
     explicit failover_model(std::uint64_t seed, omitted_rules omitted = {},
                             store_behavior store = store_behavior::keeps_all,
+                            host_behavior hosts = host_behavior::keep_running,
                             const wire_behavior& wire = {})
         : m_random(seed), m_omitted(std::move(omitted)), m_store_behavior(store),
-          m_group(m_random, m_links, wire, start),
+          m_host_behavior(hosts), m_group(m_random, m_links, wire, start),
           m_store({1, "", "", true, 1, 1, true}, store == store_behavior::is_restored) {
         m_store.run(start, m_group.listed());
         for (auto& host : m_hosts) {
             read_list(host);
             host.tracker.record_primary("i0", 1);
+            host.primary = {"i0", 1};
         }
     }
 
@@ -162,8 +170,8 @@
         established_replicas established;
         contact_tracker contact;
         primary_tracker tracker;
-        /// The last known primary, listed or not.
-        known_primary primary{"i0", 1};
+        /// The last known primary, listed or not; of term 0 if only the platform names it.
+        known_primary primary;
         time_point primary_since{};
         log_position acknowledged;
         std::vector<waiting_commit> unconfirmed;
@@ -171,6 +179,8 @@
         store_position claim_position;
         time_point claim_seen_at{};
         store_era era{1, start};
+        /// The members as this host last stored or read them as the gateway of the primary.
+        std::optional<group_members> stored_members;
         /// Where the claim stood when the primary was proved to lead, until it is written.
         std::optional<store_position> renewal;
         known_primary renewed_primary;
@@ -203,11 +213,36 @@
             m_hosts.at(static_cast<std::size_t>(m_random.pick(domain_count))).frozen_until =
                 m_now + step * m_random.pick(80);
         }
+        if (m_host_behavior == host_behavior::start_again) {
+            restart_hosts();
+        }
         if (m_store_behavior == store_behavior::is_restored && m_random.chance(0.015)) {
             m_store.restore(step * m_random.pick(restorable_store::max_loss / step));
         }
     }
 
+    void restart_hosts() {
+        if (m_random.chance(0.005)) {
+            restart_host(m_random.pick(domain_count));
+        }
+        if (m_random.chance(0.003)) {
+            for (int domain = 0; domain < domain_count; ++domain) {
+                restart_host(domain);
+            }
+        }
+        if (m_random.chance(0.005)) {
+            m_group.replace_replica();
+        }
+    }
+
+    void restart_host(int domain) {
+        host& own = m_hosts.at(static_cast<std::size_t>(domain));
+        own = host();
+        own.era = {0, m_now};
+        own.frozen_until = m_now + step * (1 + m_random.pick(60));
+        m_group.drop_calls(domain);
+    }
+
     void run_host(int domain, host& own) {
         if (m_links.reaches_store(domain) && m_random.chance(0.7)) {
             read_list(own);
@@ -215,6 +250,7 @@
         }
         take_list_of_peers(domain, own);
         update_knowledge(domain, own);
+        store_members(domain, own);
         take_answers(domain, own);
         take_commits(domain, own);
         if (m_random.chance(0.5)) {
@@ -334,7 +370,9 @@
             const host& peer = m_hosts.at(static_cast<std::size_t>(other));
             if (hears(domain, other)) {
                 own.acknowledged = std::max(own.acknowledged, peer.acknowledged);
-                own.tracker.record_hearsay(peer.primary.instance, peer.primary.term);
+                if (peer.primary.term > 0) {
+                    own.tracker.record_hearsay(peer.primary.instance, peer.primary.term);
+                }
             }
         }
         update_primary(own);
@@ -348,7 +386,10 @@
         }
         const auto current = own.tracker.current(listed, "");
         if (current) {
-            if (current->instance != own.primary.instance || current->term > own.primary.term) {
+            const bool promoted = current->instance != own.primary.instance ||
+                                  (current->term > own.primary.term && own.primary.term > 0);
+            // The first primary that a host learns of is not a new one.
+            if (promoted && !own.primary.instance.empty()) {
                 own.primary_since = m_now;
             }
             own.primary = *current;
@@ -407,11 +448,13 @@
 
     bool all_follow(int domain, host& own) {
         const std::set<std::string> members = own.roster.members();
-        return std::all_of(members.begin(), members.end(), [&](const std::string& id) {
-            const auto status = m_group.ask(domain, id);
-            return id == own.primary.instance ||
-                   (status && confirms_leadership(*status, own.primary));
-        });
+        const bool has_others = members.size() > (members.contains(own.primary.instance) ? 1U : 0U);
+        return has_others &&
+               std::all_of(members.begin(), members.end(), [&](const std::string& id) {
+                   const auto status = m_group.ask(domain, id);
+                   return id == own.primary.instance ||
+                          (status && confirms_leadership(*status, own.primary));
+               });
     }
 
     // A host that is cut off from the platform gets the list from a peer that isn't.
@@ -481,6 +524,52 @@
         }
     }
 
+    // The hosts in the primary's domain come first, and those that can't reach it last.
+    bool is_gateway(int domain, const host& own) {
+        const auto order = [&](int candidate) {
+            return std::pair(!m_group.ask(candidate, own.primary.instance),
+                             candidate != m_group.domain_of(own.primary.instance));
+        };
+        for (int other = 0; other < domain_count; ++other) {
+            if (hears(domain, other) &&
+                std::pair(order(other), other) < std::pair(order(domain), domain)) {
+                return false;
+            }
+        }
+        return own.primary.term > 0 && own.listed.contains(own.primary.instance);
+    }
+
+    group_members current_members(const host& own) const {
+        return {own.primary.instance, own.roster.members(), own.roster.leaving(), own.era.number};
+    }
+
+    void merge_stored_members(host& own) const {
+        if (m_store.members().era == m_store.position().era) {
+            own.roster.merge(m_store.members(), m_now);
+        }
+    }
+
+    void store_members(int domain, host& own) {
+        if (omits(omitted_rule::store_members)) {
+            return;
+        }
+        if (!is_gateway(domain, own)) {
+            own.stored_members.reset();
+            return;
+        }
+        const bool differs = own.stored_members != current_members(own);
+        if (differs && m_links.reaches_store(domain) && own.era.number == m_store.position().era) {
+            merge_stored_members(own);
+            own.stored_members = current_members(own);
+            m_store.write_members(*own.stored_members);
+        }
+    }
+
+    bool may_acknowledge_with(const host& own, const std::string& id) const {
+        return may_vouch(own, id) &&
+               (!own.stored_members || own.stored_members->members.contains(id));
+    }
+
     bool may_vouch(const host& own, const std::string& id) const {
         return id != own.primary.instance &&
                (omits(omitted_rule::establish_replicas) || own.established.is_established(id));
@@ -488,7 +577,8 @@
 
     bool confirm(int domain, host& own, const std::optional<log_position>& position) {
         for (const auto& [id, born] : own.listed) {
-            const auto status = may_vouch(own, id) ? m_group.ask(domain, id) : std::nullopt;
+            const bool vouches = position ? may_acknowledge_with(own, id) : may_vouch(own, id);
+            const auto status = vouches ? m_group.ask(domain, id) : std::nullopt;
             if (status && confirms_leadership(*status, own.primary) &&
                 (!position || status->received >= *position)) {
                 return true;
@@ -499,7 +589,7 @@
 
     bool needs_confirmation(const host& own) const {
         for (const auto& [id, born] : own.listed) {
-            if (id != own.primary.instance && !may_vouch(own, id)) {
+            if (id != own.primary.instance && !may_acknowledge_with(own, id)) {
                 return true;
             }
         }
@@ -581,6 +671,12 @@
         if (may_be_held(own) || just_replaced) {
             return;
         }
+        if (!omits(omitted_rule::store_members)) {
+            merge_stored_members(own);
+        }
+        if (own.primary.instance.empty()) {
+            take_stored_primary(own);
+        }
         if (present.finished && !present.successor.empty() &&
             present.successor != own.primary.instance && present.term > own.primary.term &&
             own.listed.contains(present.successor)) {
@@ -605,6 +701,12 @@
         }
     }
 
+    void take_stored_primary(host& own) const {
+        const failover_claim& claim = m_store.claim();
+        const bool led = claim.finished && !claim.successor.empty();
+        own.primary = {led ? claim.successor : m_store.members().primary, 0};
+    }
+
     void finish_claim(const host& own, const std::string& successor) {
         const attempt_state& attempt = *own.attempt;
         const std::uint64_t term = attempt.leads ? attempt.led_term : attempt.term;
@@ -872,6 +974,7 @@
     walk_random m_random;
     omitted_rules m_omitted;
     store_behavior m_store_behavior;
+    host_behavior m_host_behavior;
     time_point m_now = start;
     domain_links m_links;
     instance_group m_group;
--- a/test/model/failover_walks.hpp
+++ b/test/model/failover_walks.hpp
@@ -23,10 +23,11 @@
 };
 
 /// Runs the walks of consecutive seeds, and names those that break a promise.
-inline walk_totals walk_all(std::uint64_t walks, store_behavior store) {
+inline walk_totals walk_all(std::uint64_t walks, store_behavior store,
+                            host_behavior hosts = host_behavior::keep_running) {
     walk_totals totals;
     for (std::uint64_t i = 0; i < walks; ++i) {
-        failover_model walked(first_seed() + i, {}, store);
+        failover_model walked(first_seed() + i, {}, store, hosts);
         walked.run(steps_per_walk);
         totals.reversed_tokens += walked.reversed_tokens();
         if (walked.lost() + walked.stale() + walked.reversed_tokens() > 0) {
@@ -43,10 +44,11 @@
 
 /// Whether one of many walks without the rule breaks a promise.
 template <class Broken>
-bool any_walk_breaks(omitted_rule omitted, store_behavior store, Broken broken) {
+bool any_walk_breaks(omitted_rule omitted, store_behavior store, Broken broken,
+                     host_behavior hosts = host_behavior::keep_running) {
     constexpr std::uint64_t max_walks = 20'000;
     for (std::uint64_t i = 0; i < max_walks; ++i) {
-        failover_model walked(first_seed() + i, {omitted}, store);
+        failover_model walked(first_seed() + i, {omitted}, store, hosts);
         walked.run(steps_per_walk);
         if (broken(walked)) {
             return true;
--- a/test/model/restorable_store.hpp
+++ b/test/model/restorable_store.hpp
@@ -1,9 +1,10 @@
 /// \file
-/// The platform's store as far as a group's failover needs it: the claim and the list of instances.
-/// It can be restored from an older copy.
+/// The platform's store as far as a group's failover needs it: the claim, the list of instances
+/// and the stored members. It can be restored from an older copy.
 #pragma once
 
 #include "bronzeplank/failover.hpp"
+#include "bronzeplank/group_roster.hpp"
 #include "bronzeplank/store_position.hpp"
 
 #include <cstdint>
@@ -44,9 +45,10 @@
             return;
         }
         const bool changed = m_copies.empty() || m_copies.back().position != m_position ||
-                             m_copies.back().listed != present;
+                             m_copies.back().listed != present ||
+                             m_copies.back().members != m_members;
         if (changed) {
-            m_copies.push_back({now, m_claim, m_position, present});
+            m_copies.push_back({now, m_claim, m_position, present, m_members});
         }
         while (m_copies.size() > 1 && now - m_copies[1].taken_at > max_loss) {
             m_copies.pop_front();
@@ -64,6 +66,7 @@
         m_claim = restored->claim;
         m_position = {m_position.era + 1, restored->position.revision};
         m_restored_list = restored->listed;
+        m_members = restored->members;
         m_rewritten_at = m_now + rewrite_time;
     }
 
@@ -73,6 +76,10 @@
         return m_now < m_rewritten_at ? m_restored_list : m_present;
     }
 
+    /// The members of the last write; none at first.
+    const group_members& members() const { return m_members; }
+    void write_members(const group_members& members) { m_members = members; }
+
     /// The claim's new position. Nothing if its revision is another one, or if it was expected in
     /// an earlier era: then the write may have been executed, since a call carries no era.
     std::optional<store_position> write(const store_position& expected,
@@ -95,6 +102,7 @@
         failover_claim claim;
         store_position position;
         instance_list listed;
+        group_members members;
     };
     struct late_write {
         time_point due;
@@ -104,6 +112,7 @@
 
     time_point m_now{};
     failover_claim m_claim;
+    group_members m_members;
     bool m_keeps_copies = false;
     store_position m_position{1, 1};
     instance_list m_present;
