--- a/src/service/host.cpp
+++ b/src/service/host.cpp
@@ -1,6 +1,7 @@
 #include "service/host.hpp"
 
 #include "runtime/log.hpp"
+#include "runtime/signal_watch.hpp"
 #include "service/caller_api.hpp"
 #include "service/promotion_service.hpp"
 
@@ -53,9 +54,13 @@
         add_gauges();
     }
 
-    void run() {
-        event* sigterm_event = watch_signal(SIGTERM);
-        event* sigint_event = watch_signal(SIGINT);
+    /// \param signals those that tell the host to stop
+    void run(const blocked_signals& signals) {
+        const signal_watch watch(m_kernel.loop(), signals, [this](int) {
+            if (!std::exchange(m_stopping, true)) {
+                spawn(stop());
+            }
+        });
         m_directory.start();
         m_membership.start();
         m_rates.start();
@@ -64,25 +69,10 @@
                                       {"failure_domain", m_host.failure_domain},
                                       {"callers", m_host.callers.to_text()}});
         m_kernel.loop().run();
-        event_free(sigterm_event);
-        event_free(sigint_event);
         log(log_event::host_stopped, {{"host", m_host.host}});
     }
 
 private:
-    event* watch_signal(int signal_number) {
-        const auto on_signal = [](evutil_socket_t, short, void* argument) {
-            auto* self = static_cast<host_process*>(argument);
-            if (!self->m_stopping) {
-                self->m_stopping = true;
-                spawn(self->stop());
-            }
-        };
-        event* signal_event = evsignal_new(m_kernel.loop().base(), signal_number, on_signal, this);
-        event_add(signal_event, nullptr);
-        return signal_event;
-    }
-
     task<void> stop() {
         event_loop& loop = m_kernel.loop();
         log(log_event::host_draining, {{"host", m_host.host}});
@@ -212,9 +202,10 @@
 } // namespace
 
 void run_host(const settings& host) {
+    const blocked_signals signals({SIGTERM, SIGINT});
     std::signal(SIGPIPE, SIG_IGN);
     host_process process(host);
-    process.run();
+    process.run(signals);
 }
 
 } // namespace bronzeplank
