A leaver that was cut off is not stored as leaving

What callers would see: LOST, if a host that has started since counts the instance as gone while it still acknowledges commits with the primary.

Cause: a host tells an exit from a cut by whether the instance was reachable when its entry went. The stored members said of both that they leave, and a host that merges them can't tell.

Evidence: stored_members_test, the case of a leaver that hosts could not reach, failed.

Change: leaving() has only those that are listed or that have exited. One whose entry expires after the last store isn't covered.

Result: that case passes.

--- a/include/bronzeplank/group_roster.hpp
+++ b/include/bronzeplank/group_roster.hpp
@@ -76,7 +76,8 @@
     /// The instances that a failover has to account for.
     std::set<std::string> members() const;
 
-    /// Those of them that leave, or have left, as planned.
+    /// Those of them that leave, or have left, as planned; not one that lost the platform
+    /// meanwhile.
     std::set<std::string> leaving() const;
 
     /// Adds members that other hosts have stored and that this one has neither seen nor left out.
--- a/src/core/group_roster.cpp
+++ b/src/core/group_roster.cpp
@@ -109,7 +109,7 @@
 std::set<std::string> group_roster::leaving() const {
     std::set<std::string> found;
     for (const auto& [id, known] : m_members) {
-        if (known.leaving) {
+        if (known.leaving && (known.listed || exited(known))) {
             found.insert(id);
         }
     }
