A primary that has started again without its log doesn't count as demoted

What callers would see: LOST, if the only other copy of acknowledged commits is at a member that can't be asked.

Cause: with the old primary demoted, one other instance need not answer, as the old primary's log has all commits. One that has started again under its id has an empty log.

Evidence: stored_members_test, the case of a primary without its log, failed.

Change: an old primary without any commit doesn't stand in for an instance that has not answered.

Result: that case passes; failover_test passes (29 assertions).

--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -78,7 +78,9 @@
         std::find_if(choice.answered.begin(), choice.answered.end(),
                      [&](const auto& replica) { return replica.instance == choice.old_primary; });
     const bool demoted = old_primary != choice.answered.end();
-    if (!accounts_for_members(choice.members, accounted, choice.old_primary, demoted)) {
+    // One that has started again without its log has none of the commits that it acknowledged.
+    const bool has_log = demoted && old_primary->status.received != log_position{};
+    if (!accounts_for_members(choice.members, accounted, choice.old_primary, has_log)) {
         return std::nullopt;
     }
     if (choice.old_primary_unfit && !choice.members_complete && !demoted) {
