The stored members are remembered while the primary's entry is missing

What callers would see: LOST, after commits on the word of an instance that no new host would account for.

Cause: a gateway that the store rejects forgot what it had stored when the primary's entry was gone for a moment, and relied on its list from there on.

Evidence: stored_members_test, the case of a gateway cut off from the store, failed.

Change: they are dropped only when another host is the gateway.

--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -364,7 +364,11 @@
     group_state& state = m_groups[group];
     const auto primary = m_directory.primary(group);
     const upstream_instance* listed = primary ? m_directory.instance(primary->instance) : nullptr;
-    if (listed == nullptr || m_router.gateway_of(*listed) != m_router.host()) {
+    // What is stored doesn't change while the primary's entry is missing.
+    if (listed == nullptr) {
+        return;
+    }
+    if (m_router.gateway_of(*listed) != m_router.host()) {
         state.stored_members.reset();
         return;
     }
