--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -365,12 +365,18 @@
     group_state& state = m_groups[group];
     const auto primary = m_directory.primary(group);
     const upstream_instance* listed = primary ? m_directory.instance(primary->instance) : nullptr;
-    if (listed == nullptr || m_router.gateway_of(*listed) != m_router.host()) {
+    // What is stored doesn't change while the primary's entry is missing.
+    if (listed == nullptr) {
+        return;
+    }
+    if (m_router.gateway_of(*listed) != m_router.host()) {
         state.stored_members.reset();
         return;
     }
+    // A host that hears only a few others may not be the gateway.
     if (state.storing_members || now < state.next_storing_at || !m_platform.reachable() ||
-        state.stored_members == current_members(group)) {
+        state.stored_members == current_members(group) ||
+        2 * m_fleet.live_host_count(now) <= m_fleet.presumed_host_count(now)) {
         return;
     }
     state.storing_members = true;
