A timer that a late callback starts runs its full delay

What callers saw: nothing directly. A failover that had sent a RESUME without an answer waits until it can't arrive any more before it releases its claim; the wait was shorter by as long as the loop was late, so the command could undo the pause of the next claim. Timeouts of calls were short by the same time.

Cause: libevent counts a timer from the time at which the loop last looked for events, not from the call.

Evidence: event_loop_test, before: a timer of 100 ms, started by a callback after 150 ms, fired after 1.0 ms (2 of 2 assertions).

Change: the loop reads the clock for each timer.

Result: event_loop_test passes (2 assertions).

--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -43,6 +43,8 @@
 event_loop::event_loop() {
     event_config* config = event_config_new();
     event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    // Otherwise a timer counts from the time at which the loop has last looked for events.
+    event_config_set_flag(config, EVENT_BASE_FLAG_NO_CACHE_TIME);
     m_base = event_base_new_with_config(config);
     event_config_free(config);
     if (m_base == nullptr) {
