A promotion request leaves within the lease of its claim

What callers saw: on a platform that doesn't check fences, a promotion could take effect after another host's. Whatever the first successor lacked was lost.

Cause: the lease was checked before the connection for the request was opened. A loop that was late until after the lease found it open and sent the request: ready sockets are handled before timers that are due.

Change: the lease's end goes with the request and is checked again when the connection is open, directly before the write.

A process that is suspended between that check and the write, or a platform that takes the request late, isn't covered.

--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -294,7 +294,7 @@
         }
         const time_point requested_at = event_loop::now();
         const promotion_result result =
-            co_await m_platform.promote(attempt.group, successor, attempt.token);
+            co_await m_platform.promote(attempt.group, successor, attempt.token, attempt.lease_end);
         log(log_event::promotion_requested,
             {{"group", attempt.group},
              {"instance", successor},
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -67,8 +67,9 @@
     std::function<task<stored_members>(std::string group, store_position expected,
                                        group_members members)>
         write_members;
+    /// Requests nothing after `lease_end`, also if the loop is late.
     std::function<task<promotion_result>(std::string group, std::string instance,
-                                         std::uint64_t token)>
+                                         std::uint64_t token, time_point lease_end)>
         promote;
 };
 
--- a/test/model/failover_fixture.hpp
+++ b/test/model/failover_fixture.hpp
@@ -82,8 +82,8 @@
             members = {true, {era.number, members.position.revision + 1}, std::move(next)};
             co_return members;
         };
-        platform.promote = [this](std::string, std::string instance,
-                                  std::uint64_t) -> task<promotion_result> {
+        platform.promote = [this](std::string, std::string instance, std::uint64_t,
+                                  time_point) -> task<promotion_result> {
             promoted.push_back(instance);
             if (promotion_result_to_give == promotion_result::refused) {
                 co_return promotion_result::refused;
