A replication command that has waited too long isn't sent

What callers saw: nothing directly. A RESUME that arrived late could end the pause of a later claim, a PAUSE could stop a replica that follows the new primary.

Cause: a gateway kept commands until its connection to the instance was open, for as long as that took or its loop was late. The coordinator assumes that none arrives 1 s after it was sent. Only relayed messages were dropped by age, before that.

Evidence: late_loop_test, before: PAUSE, RESUME and DEMOTE were sent 550 ms after they were given to the connection (3 of 3).

Change: such a command gets no answer if the connection opens more than 500 ms later. A relayed one may have taken 500 ms before; together that is the second that the coordinator assumes, as is now asserted at compile time.

Commands that the instance's machine holds back are not covered; the check of pauses before the promotion and the stored claim are what stands against those.

--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -2,6 +2,7 @@
 #include "session/failover_service.hpp"
 
 #include "runtime/log.hpp"
+#include "session/upstream_connection.hpp"
 
 namespace bronzeplank {
 
@@ -22,6 +23,7 @@
 // A command without an answer may still arrive within this time.
 constexpr std::chrono::milliseconds command_lifetime{1000};
 static_assert(claim_lease + command_lifetime <= claim_timeout);
+static_assert(fleet::control_call_timeout + command_send_limit <= command_lifetime);
 
 } // namespace
 
--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -16,9 +16,6 @@
 
 // How often the deadlines of calls and the liveness of peers are checked.
 constexpr std::chrono::milliseconds sweep_interval{50};
-// Timeout of replication commands and position requests. Both are cheap: a gateway that takes
-// longer is of no use to the caller.
-constexpr std::chrono::milliseconds control_call_timeout{500};
 // How long the platform has to deliver an update before it is requested from a peer. A reachable
 // platform delivers within some 10 ms.
 constexpr std::chrono::milliseconds platform_update_grace{300};
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -127,6 +127,9 @@
 
     /// A peer is dead when no message at all arrives within this time after a call.
     static constexpr std::chrono::milliseconds unresponsive_after{650};
+    /// Timeout of replication commands and position requests. Both are cheap: a gateway that takes
+    /// longer is of no use to the caller.
+    static constexpr std::chrono::milliseconds control_call_timeout{500};
     /// A host without messages for this long no longer counts as part of the fleet.
     static constexpr std::chrono::seconds host_retention{30};
 
--- a/src/session/upstream_connection.hpp
+++ b/src/session/upstream_connection.hpp
@@ -4,12 +4,17 @@
 
 #include "session/upstream_work.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
 
 namespace bronzeplank {
 
+/// A replication command that changes something isn't sent this long after it was given to the
+/// connection: it may contradict a later one by then.
+constexpr std::chrono::milliseconds command_send_limit{500};
+
 /// A connection to an instance on behalf of one workspace. Requests are answered in the order in
 /// which they were sent; when the connection closes, each unanswered request gets `unanswered`, and
 /// then the handler that was passed to the constructor for this is called.
--- a/test/session/late_loop_test.cpp
+++ b/test/session/late_loop_test.cpp
@@ -1,5 +1,8 @@
+#include "model/failover_fixture.hpp"
 #include "model/plain_listener.hpp"
+#include "platform/instance_connection.hpp"
 #include "platform/promotion_command.hpp"
+#include "session/upstream_connection.hpp"
 
 #include <catch2/catch.hpp>
 #include <thread>
@@ -50,3 +53,51 @@
         REQUIRE(result == promotion_result::done);
     }
 }
+
+// A command that waited for a slow instance resumed a replica that a later claim had paused.
+TEST_CASE("a replication command that waits for its connection to open") {
+    event_loop loop;
+    model::plain_listener instance;
+    upstream_instance listed = model::listed_instance("r", false);
+    listed.address = model::plain_listener::address();
+    instance_connection connection(
+        loop, listed, "bronzeplank", [](upstream_result) {}, [] {});
+    const auto command = GENERATE(replication_command::pause, replication_command::resume,
+                                  replication_command::demote);
+    int answers = 0;
+    bool answered = false;
+    connection.send_command(command, 3, [&](const std::optional<replication_status>& status) {
+        ++answers;
+        answered = status.has_value();
+    });
+    bool reported = false;
+    connection.send_command(
+        replication_command::report, 0,
+        [&](const std::optional<replication_status>& status) { reported = status.has_value(); });
+    run_for(loop, milliseconds(20));
+
+    SECTION("is not sent once it may contradict a later claim") {
+        const bool loop_is_late = GENERATE(false, true);
+        if (loop_is_late) {
+            instance.send_text("READY I 1.1\r\n");
+            stand_still(command_send_limit + milliseconds(50));
+        } else {
+            run_for(loop, command_send_limit + milliseconds(50));
+            instance.send_text("READY I 1.1\r\n");
+        }
+        run_for(loop, milliseconds(50));
+        REQUIRE(instance.received() == "START g bronzeplank r\r\nQUERY - STATUS\r\n");
+        REQUIRE(answers == 1);
+        REQUIRE_FALSE(answered);
+        instance.send_text("ROW replica 1 1.1 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.1\r\n");
+        run_for(loop, milliseconds(50));
+        REQUIRE(reported);
+    }
+    SECTION("is sent if the connection opens in time") {
+        run_for(loop, command_send_limit / 2);
+        instance.send_text("READY I 1.1\r\n");
+        run_for(loop, milliseconds(50));
+        REQUIRE(instance.received().ends_with("QUERY - STATUS\r\n"));
+        REQUIRE(instance.received().size() > 40);
+    }
+}
