A host that is late doesn't ask for pauses again after its lease

What callers saw: nothing directly. A replica of the next primary could be paused for a claim that was over, so that writes waited until it was resumed.

Cause: the pauses are asked for again once the successor is stored. That write may be answered after the lease, which was checked only afterwards, before the promotion.

Change: the lease is checked before.

--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -260,6 +260,9 @@
 // not paused any more. What one receives after its answer is not acknowledged, since the claim
 // names the successor by then.
 task<bool> failover_service::pauses_hold(failover_attempt& attempt) {
+    if (!lease_valid(attempt)) {
+        co_return false;
+    }
     const auto holding = std::make_shared<std::size_t>(0);
     std::size_t needed = 0;
     const time_point deadline = event_loop::now() + verification_timeout;
--- a/test/session/late_loop_test.cpp
+++ b/test/session/late_loop_test.cpp
@@ -9,6 +9,7 @@
 
 using namespace bronzeplank;
 using namespace bronzeplank::platform;
+using model::failover_fixture;
 using std::chrono::milliseconds;
 
 namespace {
@@ -101,3 +102,40 @@
         REQUIRE(instance.received().size() > 40);
     }
 }
+
+// A host that stood still after a check of its lease acted on the claim when others held the next.
+TEST_CASE("a failover whose loop stands still until its lease has ended") {
+    failover_fixture test;
+    bool late = false;
+    std::size_t commands_before = 0;
+    const auto be_late = [&] {
+        if (!std::exchange(late, true)) {
+            stand_still(claim_lease + milliseconds(50));
+            commands_before = test.host.commands.size();
+        }
+    };
+    SECTION("once it has written its claim") {
+        test.on_written = be_late;
+    }
+    SECTION("once it has stored the successor") {
+        test.on_written = [&] {
+            if (!test.written.back().successor.empty()) {
+                be_late();
+            }
+        };
+    }
+    SECTION("while it reads the list of instances under its claim") {
+        test.on_refresh = [&] {
+            if (!test.written.empty()) {
+                be_late();
+            }
+        };
+    }
+    test.service->start();
+    REQUIRE(test.host.run_until([&] { return late; }));
+    run_for(test.host.loop, milliseconds(700));
+    REQUIRE(test.promoted.empty());
+    for (std::size_t i = commands_before; i < test.host.commands.size(); ++i) {
+        REQUIRE(test.host.commands[i] == replication_command::report);
+    }
+}
