--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -2,6 +2,7 @@
 #include "session/failover_service.hpp"
 
 #include "runtime/log.hpp"
+#include "session/upstream_connection.hpp"
 
 namespace bronzeplank {
 
@@ -22,6 +23,7 @@
 // A command without an answer may still arrive within this time.
 constexpr std::chrono::milliseconds command_lifetime{1000};
 static_assert(claim_lease + command_lifetime <= claim_timeout);
+static_assert(fleet::control_call_timeout + command_send_limit <= command_lifetime);
 
 } // namespace
 
@@ -275,6 +277,9 @@
 // not paused any more. What one receives after its answer is not acknowledged, since the claim
 // names the successor by then.
 task<bool> failover_service::pauses_hold(failover_attempt& attempt) {
+    if (!lease_valid(attempt)) {
+        co_return false;
+    }
     const auto holding = std::make_shared<std::size_t>(0);
     std::size_t needed = 0;
     const time_point deadline = event_loop::now() + verification_timeout;
@@ -308,7 +313,7 @@
         }
         const time_point requested_at = event_loop::now();
         const promotion_result result =
-            co_await m_platform.promote(attempt.group, successor, attempt.token);
+            co_await m_platform.promote(attempt.group, successor, attempt.token, attempt.lease_end);
         log(log_event::promotion_requested,
             {{"group", attempt.group},
              {"instance", successor},
