--- a/test/session/fallback_primary_test.cpp
+++ b/test/session/fallback_primary_test.cpp
@@ -4,7 +4,6 @@
 
 using namespace bronzeplank;
 using model::failover_fixture;
-using model::make_status;
 
 namespace {
 
