The soak sends signals at starts, in a row and during stops

The soak sent single signals to hosts that ran. Now 3 of 10 restarts get SIGHUP, SIGTERM or both at once; further troubles are up to 59 SIGHUP in a row, SIGHUP and SIGTERM together and on until the process is gone, and settings files that change, also into incomplete ones, with and without a signal.

Nothing in the program can keep a signal then.

--- a/test/process/front_soak.py
+++ b/test/process/front_soak.py
@@ -2,8 +2,9 @@
 """A soak of front hosts: real processes, stand-ins for the platform and the instances.
 
 Callers use their open connections until they are closed. Meanwhile hosts are stopped, killed,
-suspended and told to read their settings, failure domains are withdrawn, configurations change and
-other programs write odd entries, in series and overlapping, as the seed has it.
+suspended and told to read their settings, also while they start or stop and several times in a row;
+settings files change with and without a signal, failure domains are withdrawn, configurations
+change and other programs write odd entries, in series and overlapping, as the seed has it.
 
 Usage: front_soak.py [--seed N] [--runs N] [--seconds N] [--program FILE]
 """
@@ -33,6 +34,8 @@
 RECOVERY_LIMIT_S = 60
 # Descriptors that a host keeps for itself; see platform/front_host.cpp.
 RESERVED_DESCRIPTORS = 400
+# The share of starts that get signals at once.
+SIGNALS_AT_START = 0.3
 ODD_SPECS = ["@deep", "@huge", "@surrogate", {"Service": 7}, "text", None]
 
 
@@ -66,6 +69,7 @@
         self.stopping = False
         for front in self.world.fronts:
             front.starts = 0
+            front.begun = False
             front.cut_short = set()
             front.suspended = False
             front.start = functools.partial(self.start_front, front)
@@ -81,9 +85,23 @@
         if self.at_limit:
             fields = standins.Front.fields(front) | {"Limits": {"MemoryMb": 260, "MaxFds": limit}}
             front.fields = lambda: fields
+        front.begun = False
         await standins.Front.start(front)
         if self.at_limit:
             resource.prlimit(front.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
+        front.begun = await standins.has_begun(front.process.pid)
+        # The first processes start before any of them is started again.
+        if front.begun and front.starts > 1 and self.random.random() < SIGNALS_AT_START:
+            await self.signal_starting(front)
+
+    async def signal_starting(self, front):
+        order = self.random.choice([[signal.SIGHUP], [signal.SIGHUP, signal.SIGHUP],
+                                    [signal.SIGHUP, signal.SIGTERM],
+                                    [signal.SIGTERM, signal.SIGHUP]])
+        delay_s = self.random.choice([0, self.random.random() * 0.02])
+        await asyncio.sleep(delay_s)
+        for number in order:
+            front.signal(number)
 
     # Callers.
 
@@ -139,15 +157,30 @@
     # Troubles.
 
     async def stop(self, front):
-        if front.running() and not front.suspended:
+        if front.running() and front.begun and not front.suspended:
             front.signal(signal.SIGTERM)
-            try:
-                code = await asyncio.wait_for(asyncio.shield(front.process.wait()), KILL_AFTER_S)
-            except asyncio.TimeoutError:
-                code = None
-                front.process.kill()
-            killed = front.starts in front.cut_short
-            self.check(code == 0 or killed, f"Fault: {front.name} ended with {code} after SIGTERM")
+            await self.expect_stop(front)
+
+    async def stop_while_reloading(self, front):
+        """Both signals at once, and further ones until the process has ended."""
+        if front.running() and front.begun and not front.suspended:
+            process = front.process
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                front.signal(number)
+            stopped = asyncio.ensure_future(self.expect_stop(front))
+            while process.returncode is None and not stopped.done():
+                front.signal(self.random.choice([signal.SIGHUP, signal.SIGHUP, signal.SIGTERM]))
+                await asyncio.sleep(self.random.random() * 0.05)
+            await stopped
+
+    async def expect_stop(self, front):
+        try:
+            code = await asyncio.wait_for(asyncio.shield(front.process.wait()), KILL_AFTER_S)
+        except asyncio.TimeoutError:
+            code = None
+            front.process.kill()
+        killed = front.starts in front.cut_short
+        self.check(code == 0 or killed, f"Fault: {front.name} ended with {code} after SIGTERM")
 
     async def kill(self, front):
         if front.running():
@@ -166,9 +199,35 @@
             front.suspended = False
 
     async def reload(self, front):
-        if front.running():
+        if front.running() and front.begun:
             front.signal(signal.SIGHUP)
 
+    async def reload_in_a_row(self, front):
+        for _ in range(self.random.randrange(2, 60)):
+            await self.reload(front)
+            await asyncio.sleep(self.random.choice([0, 0.001, self.random.random() * 0.02]))
+
+    async def change_settings(self, front):
+        """The file may be incomplete, and the signal may come late or never."""
+        path = os.path.join(self.folder, front.name + ".jsonc")
+        starts = front.starts
+        # A start takes the file as it is then.
+        if not await front.ready() or front.starts != starts:
+            return
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+        changed = self.random.choice([text + "\n// changed\n", text.replace("6000", "7000"),
+                                      text[:len(text) // 2], ""])
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(changed)
+        for _ in range(self.random.randrange(3)):
+            await asyncio.sleep(self.random.random() * 0.3)
+            await self.reload(front)
+        await asyncio.sleep(self.random.random())
+        if front.starts == starts:
+            with open(path, "w", encoding="utf-8") as file:
+                file.write(text)
+
     async def withdraw(self, _):
         zone = self.random.choice(standins.ZONES)
         self.world.store.put("evacuations", zone, {})
@@ -198,7 +257,8 @@
         self.world.store.delete(kind, name)
 
     async def disturb(self):
-        troubles = [self.stop, self.stop, self.kill, self.suspend, self.reload, self.withdraw,
+        troubles = [self.stop, self.stop_while_reloading, self.kill, self.suspend, self.reload,
+                    self.reload_in_a_row, self.change_settings, self.withdraw,
                     self.drain, self.drain, self.configure, self.write_odd_entry]
         running = []
         while self.record.now() < self.seconds:
