--- a/test/restarted_hosts_walks_test.cpp
+++ b/test/restarted_hosts_walks_test.cpp
@@ -18,6 +18,17 @@
     }
 }
 
+TEST_CASE("whatever fails, and hosts start again on a restored store") {
+    const model::walk_totals totals = model::walk_all(
+        model::walk_count() / 10, store_behavior::is_restored, host_behavior::start_again);
+
+    SECTION("commits and reads keep their promises, and tokens never fall") {
+        CHECK(totals.lost == 0);
+        CHECK(totals.stale == 0);
+        CHECK(totals.reversed_tokens == 0);
+    }
+}
+
 TEST_CASE("the walks with hosts that start again notice") {
     const auto loses = [](const failover_model& walked) { return walked.lost() > 0; };
 
