A crashed instance doesn't count under its old id once it has started again

What callers saw: refusals.

Cause: a failover accounts for every instance that may run. An instance that crashes starts again under another id at its address, and hosts kept its old id for ten minutes, as they can't tell a crash from a cut. Each crash leaves an id that never answers, so a failover of that group waits (event 1307), or demotes a primary that leaves and then promotes nobody.

Change: once another member has answered at an unlisted instance's address, the instance has ended, since only one process at a time listens there and connections name the instance that they expect. From then on it is left out on the same evidence as one that left as planned: a report of the primary, and an established replica that has received it. The answer counts, not the list, which may be old.

--- a/include/bronzeplank/group_roster.hpp
+++ b/include/bronzeplank/group_roster.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "bronzeplank/primary_tracker.hpp"
+#include "bronzeplank/settings.hpp"
 #include "bronzeplank/statement.hpp"
 #include "bronzeplank/time.hpp"
 
@@ -33,9 +34,9 @@
 /// that this host can't reach; and one that has exited may have been the only one besides the
 /// primary that had received some of them.
 ///
-/// Guarantee: an instance is left out only if it left as planned while hosts could reach it, and
-/// another replica has since been seen to have every commit that it may have helped to
-/// acknowledge; or after `unlisted_retention`.
+/// Guarantee: an instance is left out only if it left as planned while hosts could reach it, or
+/// another one has answered at its address, and another replica has since been seen to have every
+/// commit that it may have helped to acknowledge; or after `unlisted_retention`.
 ///
 /// The evidence is a position that a primary reported once the instance was gone, and an
 /// established replica that stays, has received that position and follows the primary's term, not
@@ -59,6 +60,7 @@
     struct listed_member {
         bool leaving = false;
         bool reachable = true;
+        endpoint address{};
         bool operator==(const listed_member&) const = default;
     };
 
@@ -108,10 +110,15 @@
         bool leaving = false;
         time_point last_listed;
         time_point last_reachable;
+        endpoint address;
+        /// When another instance was asked that has answered at the address.
+        std::optional<time_point> replaced_at;
         evidence after_exit;
     };
 
     static bool exited(const known_member& known);
+    static bool has_ended(const known_member& known);
+    static bool replaces(const known_member& later, const known_member& known);
     static bool is_obsolete(const known_member& known, time_point now);
     static void take_answer(evidence& target, const std::string& instance,
                             const replication_status& status, bool may_settle);
--- a/src/core/group_roster.cpp
+++ b/src/core/group_roster.cpp
@@ -16,6 +16,8 @@
         known.listed = true;
         known.leaving = seen.leaving;
         known.last_listed = now;
+        known.address = seen.address;
+        known.replaced_at.reset();
         known.after_exit = {};
         if (seen.reachable || added) {
             known.last_reachable = now;
@@ -32,7 +34,7 @@
 }
 
 bool group_roster::is_obsolete(const known_member& known, time_point now) {
-    return (exited(known) && known.after_exit.settled) ||
+    return (has_ended(known) && known.after_exit.settled) ||
            now - known.last_listed > unlisted_retention;
 }
 
@@ -56,10 +58,24 @@
            known.last_listed - known.last_reachable < detection_time;
 }
 
+bool group_roster::has_ended(const known_member& known) {
+    return exited(known) || (!known.listed && known.replaced_at);
+}
+
+// Only one process at a time listens at an address.
+bool group_roster::replaces(const known_member& later, const known_member& known) {
+    return later.listed && !known.listed && !known.address.address.empty() &&
+           later.address == known.address;
+}
+
 bool group_roster::awaits_answers() const {
     return std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) {
         const known_member& known = entry.second;
-        return exited(known) && m_updated_at - known.last_listed >= detection_time;
+        const bool replaced =
+            std::any_of(m_members.begin(), m_members.end(),
+                        [&](const auto& other) { return replaces(other.second, known); });
+        return replaced || known.replaced_at ||
+               (exited(known) && m_updated_at - known.last_listed >= detection_time);
     });
 }
 
@@ -92,7 +108,12 @@
         take_answer(m_before_start, instance, status, may_settle);
     }
     for (auto& [id, known] : m_members) {
-        if (exited(known) && requested_at - known.last_listed >= detection_time) {
+        if (answering != m_members.end() && replaces(answering->second, known) &&
+            requested_at > known.last_listed) {
+            known.replaced_at = known.replaced_at.value_or(requested_at);
+        }
+        const bool ended = known.replaced_at && requested_at >= *known.replaced_at;
+        if (ended || (exited(known) && requested_at - known.last_listed >= detection_time)) {
             take_answer(known.after_exit, instance, status, may_settle);
         }
     }
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -129,7 +129,8 @@
 void failover_service::update_roster(const std::string& group, time_point now) {
     std::map<std::string, group_roster::listed_member> listed;
     for (const auto& [id, instance] : m_directory.members(group)) {
-        listed[id] = {instance.leaving, m_router.reachability_of(id).unreachable_from == 0};
+        listed[id] = {instance.leaving, m_router.reachability_of(id).unreachable_from == 0,
+                      instance.address};
     }
     group_state& state = m_groups[group];
     const auto primary = m_directory.primary(group);
--- a/test/group_roster_test.cpp
+++ b/test/group_roster_test.cpp
@@ -197,6 +197,101 @@
     }
 }
 
+// A crashed instance that had started again counted for ten minutes under its old id as well.
+TEST_CASE("an instance that crashes, of a group with the primary p and the replicas j and k") {
+    const endpoint address{"10.0.0.1", 8300};
+    const time_point crashed = start + seconds(5);
+    const members all{"i", "j", "k", "p"};
+    listed after{{"j", {}}, {"k", {}}, {"p", {}}};
+    listed before = after;
+    before["i"].address = address;
+    group_roster roster;
+    roster.update(before, start);
+    roster.update(before, crashed);
+    time_point now = crashed + seconds(3);
+    const auto answer = [&](const char* id, const replication_status& status,
+                            bool established = true) {
+        roster.record_answer(id, status, established, now);
+        roster.update(after, now);
+    };
+    const auto rest_answers = [&] {
+        answer("p", primary_at_27);
+        answer("j", replica_at_27);
+    };
+
+    SECTION("is a member while no other has its address: it may run on") {
+        after["k"].address = {"10.0.0.1", 8301};
+        roster.update(after, now);
+        REQUIRE_FALSE(roster.awaits_answers());
+        answer("k", replica_at_27);
+        rest_answers();
+        REQUIRE(roster.members() == all);
+    }
+    SECTION("and of which no address is known, is a member whatever the others answer") {
+        before["i"].address = {};
+        roster.update(before, now);
+        now += seconds(3);
+        roster.update(after, now);
+        answer("k", replica_at_27);
+        rest_answers();
+        REQUIRE(roster.members() == all);
+    }
+    SECTION("and starts again under another id") {
+        after["l"].address = address;
+        roster.update(after, now);
+        members others{"j", "k", "l", "p"};
+        members both = others;
+        both.insert("i");
+        REQUIRE(roster.awaits_answers());
+
+        SECTION("is a member until the new one answers: the list may be wrong") {
+            rest_answers();
+            REQUIRE(roster.members() == both);
+        }
+        SECTION("is a member if the new one was asked while the old one was listed") {
+            roster.record_answer("l", replica_at_27, true, crashed);
+            rest_answers();
+            REQUIRE(roster.members() == both);
+        }
+        SECTION("is a member if it is listed again before the others answer") {
+            answer("l", replica_at_26);
+            before["l"] = {};
+            roster.update(before, now);
+            now += seconds(3);
+            after["l"] = {};
+            roster.update(after, now);
+            rest_answers();
+            REQUIRE(roster.members() == both);
+        }
+        SECTION("and the new one answers") {
+            answer("l", replica_at_26);
+
+            SECTION("is a member while only the primary is known to have what it had") {
+                REQUIRE(roster.members() == both);
+                answer("j", replica_at_27);
+                answer("p", primary_at_27);
+                answer("j", replica_at_26);
+                REQUIRE(roster.members() == both);
+            }
+            SECTION("is a member if the primary reported before") {
+                roster.record_answer("p", primary_at_27, true, now - milliseconds(1));
+                answer("j", replica_at_27);
+                REQUIRE(roster.members() == both);
+            }
+            SECTION("is no member any more once a replica has received all that it had") {
+                rest_answers();
+                REQUIRE(roster.members() == others);
+                REQUIRE_FALSE(roster.awaits_answers());
+            }
+        }
+        SECTION("as the primary, is no member any more once a replica has received its log") {
+            answer("l", primary_at_27);
+            answer("j", replica_at_27);
+            REQUIRE(roster.members() == others);
+        }
+    }
+}
+
 // All hosts started after an instance had left that alone had received the primary's commits.
 TEST_CASE("a roster that began after an instance may have left") {
     group_roster roster;
