--- a/include/bronzeplank/group_roster.hpp
+++ b/include/bronzeplank/group_roster.hpp
@@ -26,6 +26,8 @@
     std::set<std::string> leaving;
     /// The era of the platform's store in which they were stored.
     std::uint64_t era = 0;
+    /// Where they listen or have listened, as far as it is known.
+    std::map<std::string, endpoint> addresses = {};
     bool operator==(const group_members&) const = default;
 };
 
@@ -35,8 +37,8 @@
 /// primary that had received some of them.
 ///
 /// Guarantee: an instance is left out only if it left as planned while hosts could reach it, or
-/// another one has taken its address, and another replica has since been seen to have every commit
-/// that it may have helped to acknowledge; or after `unlisted_retention`.
+/// another one has answered at its address, and another replica has since been seen to have every
+/// commit that it may have helped to acknowledge; or after `unlisted_retention`.
 ///
 /// The evidence is a position that a primary reported once the instance was gone, and an
 /// established replica that stays, has received that position and follows the primary's term, not
@@ -60,7 +62,7 @@
     struct listed_member {
         bool leaving = false;
         bool reachable = true;
-        endpoint address = {};
+        endpoint address{};
         bool operator==(const listed_member&) const = default;
     };
 
@@ -82,6 +84,9 @@
     /// meanwhile.
     std::set<std::string> leaving() const;
 
+    /// Where the members listen or have listened.
+    std::map<std::string, endpoint> addresses() const;
+
     /// Adds members that other hosts have stored and that this one has neither seen nor left out.
     void merge(const group_members& stored, time_point now);
 
@@ -109,14 +114,17 @@
     struct known_member {
         bool listed = false;
         bool leaving = false;
-        endpoint address;
         time_point last_listed;
         time_point last_reachable;
+        endpoint address;
+        /// When another instance was asked that has answered at the address.
+        std::optional<time_point> replaced_at;
         evidence after_exit;
     };
 
-    void note_replaced(const std::map<std::string, listed_member>& listed);
     static bool exited(const known_member& known);
+    static bool has_ended(const known_member& known);
+    static bool replaces(const known_member& later, const known_member& known);
     static bool is_obsolete(const known_member& known, time_point now);
     static void take_answer(evidence& target, const std::string& instance,
                             const replication_status& status, bool may_settle);
--- a/src/core/group_roster.cpp
+++ b/src/core/group_roster.cpp
@@ -15,14 +15,14 @@
         known_member& known = entry->second;
         known.listed = true;
         known.leaving = seen.leaving;
-        known.address = seen.address;
         known.last_listed = now;
+        known.address = seen.address;
+        known.replaced_at.reset();
         known.after_exit = {};
         if (seen.reachable || added) {
             known.last_reachable = now;
         }
     }
-    note_replaced(listed);
     for (const auto& [id, known] : m_members) {
         if (is_obsolete(known, now)) {
             m_left_out[id] = now;
@@ -34,7 +34,7 @@
 }
 
 bool group_roster::is_obsolete(const known_member& known, time_point now) {
-    return (exited(known) && known.after_exit.settled) ||
+    return (has_ended(known) && known.after_exit.settled) ||
            now - known.last_listed > unlisted_retention;
 }
 
@@ -47,22 +47,9 @@
             added.leaving = stored.leaving.contains(id);
             added.last_listed = now;
             added.last_reachable = now;
-        }
-    }
-}
-
-// An instance that crashed comes back under another id at the address that it had: the process
-// that was known by the former id is gone.
-void group_roster::note_replaced(const std::map<std::string, listed_member>& listed) {
-    for (auto& [id, known] : m_members) {
-        const bool replaced = !known.listed && known.address.port != 0 &&
-                              std::any_of(listed.begin(), listed.end(),
-                                          [&, address = known.address](const auto& entry) {
-                                              return entry.second.address == address;
-                                          });
-        if (replaced) {
-            known.leaving = true;
-            known.last_reachable = known.last_listed;
+            if (const auto address = stored.addresses.find(id); address != stored.addresses.end()) {
+                added.address = address->second;
+            }
         }
     }
 }
@@ -74,10 +61,24 @@
            known.last_listed - known.last_reachable < detection_time;
 }
 
+bool group_roster::has_ended(const known_member& known) {
+    return exited(known) || (!known.listed && known.replaced_at);
+}
+
+// Only one process at a time listens at an address.
+bool group_roster::replaces(const known_member& later, const known_member& known) {
+    return later.listed && !known.listed && !known.address.address.empty() &&
+           later.address == known.address;
+}
+
 bool group_roster::awaits_answers() const {
     return std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) {
         const known_member& known = entry.second;
-        return exited(known) && m_updated_at - known.last_listed >= detection_time;
+        const bool replaced =
+            std::any_of(m_members.begin(), m_members.end(),
+                        [&](const auto& other) { return replaces(other.second, known); });
+        return replaced || known.replaced_at ||
+               (exited(known) && m_updated_at - known.last_listed >= detection_time);
     });
 }
 
@@ -110,7 +111,12 @@
         take_answer(m_before_start, instance, status, may_settle);
     }
     for (auto& [id, known] : m_members) {
-        if (exited(known) && requested_at - known.last_listed >= detection_time) {
+        if (answering != m_members.end() && replaces(answering->second, known) &&
+            requested_at > known.last_listed) {
+            known.replaced_at = known.replaced_at.value_or(requested_at);
+        }
+        const bool ended = known.replaced_at && requested_at >= *known.replaced_at;
+        if (ended || (exited(known) && requested_at - known.last_listed >= detection_time)) {
             take_answer(known.after_exit, instance, status, may_settle);
         }
     }
@@ -127,11 +133,21 @@
 std::set<std::string> group_roster::leaving() const {
     std::set<std::string> found;
     for (const auto& [id, known] : m_members) {
-        if (known.leaving && (known.listed || exited(known))) {
+        if ((known.leaving && known.listed) || has_ended(known)) {
             found.insert(id);
         }
     }
     return found;
 }
 
+std::map<std::string, endpoint> group_roster::addresses() const {
+    std::map<std::string, endpoint> found;
+    for (const auto& [id, known] : m_members) {
+        if (!known.address.address.empty()) {
+            found.emplace(id, known.address);
+        }
+    }
+    return found;
+}
+
 } // namespace bronzeplank
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -357,7 +357,7 @@
 group_members failover_service::current_members(const std::string& group) {
     const group_roster& roster = m_groups[group].roster;
     return {m_directory.primary(group).value_or(known_primary{}).instance, roster.members(),
-            roster.leaving(), m_platform.era().number};
+            roster.leaving(), m_platform.era().number, roster.addresses()};
 }
 
 // Only the gateway of the primary stores the members: it decides which commits are acknowledged.
--- a/test/group_roster_test.cpp
+++ b/test/group_roster_test.cpp
@@ -37,18 +37,18 @@
     }
 }
 
-// A group could not be failed over for ten minutes after one of its instances had crashed.
-TEST_CASE("an instance that crashes and comes back under another id") {
+// New hosts waited ten minutes for the former id of an instance that was back under another one.
+TEST_CASE("a stored member that comes back under another id after all hosts have started again") {
     const endpoint address{"10.0.0.1", 80};
     group_roster roster;
-    roster.update({{"i", {.address = address}}, {"j", {}}, {"p", {}}}, start);
-    const time_point crashed = start + seconds(1);
-    roster.update({{"j", {}}, {"p", {}}}, crashed);
-    const time_point back = crashed + seconds(5);
+    roster.update({{"j", {}}, {"p", {}}}, start);
+    roster.merge({"p", {"i", "j", "p"}, {}, 0, {{"i", address}}}, start);
+    const time_point back = start + seconds(5);
     const auto come_back = [&](const endpoint& at, time_point now) {
         roster.update({{"i2", {.address = at}}, {"j", {}}, {"p", {}}}, now);
     };
     const auto report = [&](time_point now) {
+        roster.record_answer("i2", replica_at_26, false, now);
         roster.record_answer("p", primary_at_27, true, now);
         roster.record_answer("j", replica_at_27, true, now);
     };
@@ -56,8 +56,10 @@
     SECTION("is left out by its former id once another replica has all that it had") {
         come_back(address, back);
         REQUIRE(roster.members() == members{"i", "i2", "j", "p"});
-        REQUIRE(roster.leaving() == members{"i"});
+        REQUIRE(roster.addresses() ==
+                std::map<std::string, endpoint>{{"i", address}, {"i2", address}});
         report(back);
+        REQUIRE(roster.leaving() == members{"i"});
         come_back(address, back + milliseconds(50));
         REQUIRE(roster.members() == members{"i2", "j", "p"});
     }
@@ -229,6 +231,101 @@
     }
 }
 
+// A crashed instance that had started again counted for ten minutes under its old id as well.
+TEST_CASE("an instance that crashes, of a group with the primary p and the replicas j and k") {
+    const endpoint address{"10.0.0.1", 8300};
+    const time_point crashed = start + seconds(5);
+    const members all{"i", "j", "k", "p"};
+    listed after{{"j", {}}, {"k", {}}, {"p", {}}};
+    listed before = after;
+    before["i"].address = address;
+    group_roster roster;
+    roster.update(before, start);
+    roster.update(before, crashed);
+    time_point now = crashed + seconds(3);
+    const auto answer = [&](const char* id, const replication_status& status,
+                            bool established = true) {
+        roster.record_answer(id, status, established, now);
+        roster.update(after, now);
+    };
+    const auto rest_answers = [&] {
+        answer("p", primary_at_27);
+        answer("j", replica_at_27);
+    };
+
+    SECTION("is a member while no other has its address: it may run on") {
+        after["k"].address = {"10.0.0.1", 8301};
+        roster.update(after, now);
+        REQUIRE_FALSE(roster.awaits_answers());
+        answer("k", replica_at_27);
+        rest_answers();
+        REQUIRE(roster.members() == all);
+    }
+    SECTION("and of which no address is known, is a member whatever the others answer") {
+        before["i"].address = {};
+        roster.update(before, now);
+        now += seconds(3);
+        roster.update(after, now);
+        answer("k", replica_at_27);
+        rest_answers();
+        REQUIRE(roster.members() == all);
+    }
+    SECTION("and starts again under another id") {
+        after["l"].address = address;
+        roster.update(after, now);
+        members others{"j", "k", "l", "p"};
+        members both = others;
+        both.insert("i");
+        REQUIRE(roster.awaits_answers());
+
+        SECTION("is a member until the new one answers: the list may be wrong") {
+            rest_answers();
+            REQUIRE(roster.members() == both);
+        }
+        SECTION("is a member if the new one was asked while the old one was listed") {
+            roster.record_answer("l", replica_at_27, true, crashed);
+            rest_answers();
+            REQUIRE(roster.members() == both);
+        }
+        SECTION("is a member if it is listed again before the others answer") {
+            answer("l", replica_at_26);
+            before["l"] = {};
+            roster.update(before, now);
+            now += seconds(3);
+            after["l"] = {};
+            roster.update(after, now);
+            rest_answers();
+            REQUIRE(roster.members() == both);
+        }
+        SECTION("and the new one answers") {
+            answer("l", replica_at_26);
+
+            SECTION("is a member while only the primary is known to have what it had") {
+                REQUIRE(roster.members() == both);
+                answer("j", replica_at_27);
+                answer("p", primary_at_27);
+                answer("j", replica_at_26);
+                REQUIRE(roster.members() == both);
+            }
+            SECTION("is a member if the primary reported before") {
+                roster.record_answer("p", primary_at_27, true, now - milliseconds(1));
+                answer("j", replica_at_27);
+                REQUIRE(roster.members() == both);
+            }
+            SECTION("is no member any more once a replica has received all that it had") {
+                rest_answers();
+                REQUIRE(roster.members() == others);
+                REQUIRE_FALSE(roster.awaits_answers());
+            }
+        }
+        SECTION("as the primary, is no member any more once a replica has received its log") {
+            answer("l", primary_at_27);
+            answer("j", replica_at_27);
+            REQUIRE(roster.members() == others);
+        }
+    }
+}
+
 // All hosts started after an instance had left that alone had received the primary's commits.
 TEST_CASE("a roster that began after an instance may have left") {
     group_roster roster;
--- a/test/platform/decoder_fuzz_test.cpp
+++ b/test/platform/decoder_fuzz_test.cpp
@@ -92,7 +92,8 @@
              [](const auto& text) { platform::read_claim(text); });
     }
     SECTION("the members of a group") {
-        fuzz(platform::write_members({"i-1", {"i-1", "i-2"}, {"i-2"}, 3}),
+        fuzz(platform::write_members(
+                 {"i-1", {"i-1", "i-2"}, {"i-2"}, 3, {{"i-2", {"10.0.0.2", 80}}}}),
              [](const auto& text) { platform::read_members(text); });
     }
     SECTION("an instance's entry, a host's registration and the users' configuration") {
