--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -421,8 +421,6 @@
         self.readiness = free_port(self.address)
         self.control = free_port(self.address)
         self.process = None
-        # Process.send_signal() takes the exit code of a process that has just ended from asyncio.
-        self.handle = None
         self.ends = []
 
     async def start(self):
@@ -439,9 +437,6 @@
             *words, cwd=ROOT, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL,
             env={"PATH": os.environ.get("PATH", ""), "BRONZEPLANK_CONFIG": settings})
         log.close()
-        if self.handle is not None:
-            os.close(self.handle)
-        self.handle = os.pidfd_open(self.process.pid)
         self.world.record(self.name, f"started, callers at {self.address}:{self.callers}")
 
     def fields(self):
@@ -458,10 +453,7 @@
 
     def signal(self, number):
         self.world.record(self.name, f"gets {signal.Signals(number).name}")
-        try:
-            signal.pidfd_send_signal(self.handle, number)
-        except ProcessLookupError:
-            pass
+        self.process.send_signal(number)
 
     def running(self):
         return self.process is not None and self.process.returncode is None
@@ -643,24 +635,6 @@
     pass
 
 
-async def has_begun(pid, limit_s=10):
-    """Whether the program's own code runs: a host ignores SIGPIPE first of all.
-
-    Before that, the process is still being loaded, and nothing in it can keep a signal.
-    """
-    deadline = time.monotonic() + limit_s
-    while time.monotonic() < deadline:
-        try:
-            with open(f"/proc/{pid}/status", encoding="ascii") as file:
-                ignored = [line.split()[1] for line in file if line.startswith("SigIgn:")]
-        except FileNotFoundError:
-            return False
-        if ignored and int(ignored[0], 16) >> (signal.SIGPIPE - 1) & 1:
-            return True
-        await asyncio.sleep(0)
-    return False
-
-
 def free_port(address):
     with socket.socket() as probe:
         probe.bind((address, 0))
--- a/test/process/front_soak.py
+++ b/test/process/front_soak.py
@@ -22,6 +22,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "review", "standins"))
 sys.dont_write_bytecode = True
+import front_signals  # noqa: E402
 import world as standins  # noqa: E402
 
 FRONTS = 4
@@ -89,7 +90,7 @@
         await standins.Front.start(front)
         if self.at_limit:
             resource.prlimit(front.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
-        front.begun = await standins.has_begun(front.process.pid)
+        front.begun = await front_signals.has_begun(front.process.pid)
         # The first processes start before any of them is started again.
         if front.begun and front.starts > 1 and self.random.random() < SIGNALS_AT_START:
             await self.signal_starting(front)
@@ -101,7 +102,7 @@
         delay_s = self.random.choice([0, self.random.random() * 0.02])
         await asyncio.sleep(delay_s)
         for number in order:
-            front.signal(number)
+            front_signals.send(front, number)
 
     # Callers.
 
@@ -158,7 +159,7 @@
 
     async def stop(self, front):
         if front.running() and front.begun and not front.suspended:
-            front.signal(signal.SIGTERM)
+            front_signals.send(front, signal.SIGTERM)
             await self.expect_stop(front)
 
     async def stop_while_reloading(self, front):
@@ -166,10 +167,11 @@
         if front.running() and front.begun and not front.suspended:
             process = front.process
             for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
-                front.signal(number)
+                front_signals.send(front, number)
             stopped = asyncio.ensure_future(self.expect_stop(front))
             while process.returncode is None and not stopped.done():
-                front.signal(self.random.choice([signal.SIGHUP, signal.SIGHUP, signal.SIGTERM]))
+                front_signals.send(
+                    front, self.random.choice([signal.SIGHUP, signal.SIGHUP, signal.SIGTERM]))
                 await asyncio.sleep(self.random.random() * 0.05)
             await stopped
 
@@ -185,14 +187,14 @@
     async def kill(self, front):
         if front.running():
             front.cut_short.add(front.starts)
-            front.signal(signal.SIGKILL)
+            front_signals.send(front, signal.SIGKILL)
 
     async def suspend(self, front):
         if front.running():
             front.cut_short.add(front.starts)
             front.suspended = True
             process = front.process
-            front.signal(signal.SIGSTOP)
+            front_signals.send(front, signal.SIGSTOP)
             await asyncio.sleep(self.random.random() * 3)
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
@@ -200,7 +202,7 @@
 
     async def reload(self, front):
         if front.running() and front.begun:
-            front.signal(signal.SIGHUP)
+            front_signals.send(front, signal.SIGHUP)
 
     async def reload_in_a_row(self, front):
         for _ in range(self.random.randrange(2, 60)):
--- a/test/process/signals_at_the_edges.py
+++ b/test/process/signals_at_the_edges.py
@@ -20,6 +20,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "review", "standins"))
 sys.dont_write_bytecode = True
+import front_signals  # noqa: E402
 import world as standins  # noqa: E402
 
 FRONTS = 10
@@ -64,7 +65,7 @@
     async def send_order(self, name, process, send, order):
         delay_s = self.random.choice([0, self.random.random() * 0.02])
         text = " ".join(signal.Signals(number).name for number in order) + f" after {delay_s:.4f} s"
-        if not await standins.has_begun(process.pid):
+        if not await front_signals.has_begun(process.pid):
             self.check(False, f"{name}: has not begun")
             return
         await asyncio.sleep(delay_s)
