--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -572,9 +572,7 @@
         return {own.primary.instance, own.roster.members(), own.roster.leaving(), own.era.number};
     }
 
-    void merge_stored_members(host& own) const {
-        own.roster.merge(m_store.members(), m_now);
-    }
+    void merge_stored_members(host& own) const { own.roster.merge(m_store.members(), m_now); }
 
     void store_members(int domain, host& own) {
         if (omits(omitted_rule::store_members)) {
