Tests of failovers run their loop by one function

Cause: five new tests and failover_service_test each had the same run_for().

Change: it stands beside failover_fixture. No assertion is changed.

--- a/test/model/failover_fixture.hpp
+++ b/test/model/failover_fixture.hpp
@@ -100,4 +100,12 @@
     }
 };
 
+/// Runs the fixture's loop for that time.
+inline void run_for(failover_fixture& test, duration time) {
+    const time_point end = event_loop::now() + time;
+    while (event_loop::now() < end) {
+        test.host.run_until([&] { return event_loop::now() >= end; });
+    }
+}
+
 } // namespace bronzeplank::model
--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -274,12 +274,7 @@
         leaver.leaving = true;
         test.host.directory.upsert_instance(leaver);
     };
-    const auto run_for = [&](duration time) {
-        const time_point end = event_loop::now() + time;
-        while (event_loop::now() < end) {
-            test.host.run_until([&] { return event_loop::now() >= end; });
-        }
-    };
+    const auto run_for = [&](duration time) { model::run_for(test, time); };
     const auto exit = [&](const char* id) {
         test.host.reports.erase(id);
         test.host.directory.remove_instance(id, event_loop::now());
--- a/test/session/fallback_primary_test.cpp
+++ b/test/session/fallback_primary_test.cpp
@@ -5,17 +5,6 @@
 using namespace bronzeplank;
 using model::failover_fixture;
 
-namespace {
-
-void run_for(failover_fixture& test, duration time) {
-    const time_point end = event_loop::now() + time;
-    while (event_loop::now() < end) {
-        test.host.run_until([&] { return event_loop::now() >= end; });
-    }
-}
-
-} // namespace
-
 // "n" has led term 2 after "p", and has left the list; the host never saw "p" as a replica.
 TEST_CASE("a newer primary has left the list, and the one before it counts as the primary") {
     failover_fixture test;
--- a/test/session/new_hosts_test.cpp
+++ b/test/session/new_hosts_test.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-void run_for(failover_fixture& test, duration time) {
-    const time_point end = event_loop::now() + time;
-    while (event_loop::now() < end) {
-        test.host.run_until([&] { return event_loop::now() >= end; });
-    }
-}
-
 /// Long enough for hosts to take an instance for gone, to ask the others and to store the result.
 constexpr duration settling_time = group_roster::detection_time + std::chrono::milliseconds(2500);
 
--- a/test/session/overlapping_promotions_test.cpp
+++ b/test/session/overlapping_promotions_test.cpp
@@ -13,13 +13,6 @@
 /// Long enough for another host's claim to expire and for one attempt after it.
 constexpr duration attempt_time = claim_timeout + std::chrono::milliseconds(2000);
 
-void run_for(failover_fixture& test, duration time) {
-    const time_point end = event_loop::now() + time;
-    while (event_loop::now() < end) {
-        test.host.run_until([&] { return event_loop::now() >= end; });
-    }
-}
-
 void list_replica(failover_fixture& test, const std::string& id) {
     test.host.directory.upsert_instance(model::listed_instance(id, false));
     test.host.reports[id] = make_status(replication_role::replica, 1);
--- a/test/session/restarted_instance_test.cpp
+++ b/test/session/restarted_instance_test.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-void run_for(failover_fixture& test, duration time) {
-    const time_point end = event_loop::now() + time;
-    while (event_loop::now() < end) {
-        test.host.run_until([&] { return event_loop::now() >= end; });
-    }
-}
-
 upstream_instance replica_at(const std::string& id, const std::string& address) {
     upstream_instance instance = model::listed_instance(id, false);
     instance.address = {address, 8300};
--- a/test/session/stored_members_test.cpp
+++ b/test/session/stored_members_test.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-void run_for(failover_fixture& test, duration time) {
-    const time_point end = event_loop::now() + time;
-    while (event_loop::now() < end) {
-        test.host.run_until([&] { return event_loop::now() >= end; });
-    }
-}
-
 bool promotes(failover_fixture& test) {
     const auto promoted = [&] { return !test.promoted.empty(); };
     return test.host.run_until(promoted) || test.host.run_until(promoted);
