A leaving primary is listed by one function of the tests

Cause: overlapping_promotions_test repeated the setup of failover_service_test.

Change: list_leaving_primary() stands beside failover_fixture. No assertion is changed.

--- a/test/model/failover_fixture.hpp
+++ b/test/model/failover_fixture.hpp
@@ -100,6 +100,16 @@
     }
 };
 
+/// Lists the primary "p" as leaving, though hosts reach it. Returns its entry.
+inline upstream_instance list_leaving_primary(failover_fixture& test) {
+    test.host.pools["p"].reachable = true;
+    test.host.reports["p"] = make_status(replication_role::primary, 1);
+    upstream_instance leaving = listed_instance("p", true);
+    leaving.leaving = true;
+    test.host.directory.upsert_instance(leaving);
+    return leaving;
+}
+
 /// Runs the fixture's loop for that time.
 inline void run_for(failover_fixture& test, duration time) {
     const time_point end = event_loop::now() + time;
--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -189,11 +189,7 @@
 
 TEST_CASE("failover of a primary that leaves and still answers") {
     failover_fixture test;
-    test.host.pools["p"].reachable = true;
-    test.host.reports["p"] = make_status(replication_role::primary, 1);
-    upstream_instance leaving = model::listed_instance("p", true);
-    leaving.leaving = true;
-    test.host.directory.upsert_instance(leaving);
+    upstream_instance leaving = model::list_leaving_primary(test);
     const auto promoted = [&] { return !test.promoted.empty(); };
 
     SECTION("does not wait for an unreachable replica: the primary is demoted first") {
--- a/test/session/overlapping_promotions_test.cpp
+++ b/test/session/overlapping_promotions_test.cpp
@@ -85,11 +85,7 @@
 // A demoted primary could receive commits from an earlier successor that the next one lacked.
 TEST_CASE("a leaving primary is demoted, while \"s\" may lead unseen after a lost answer") {
     failover_fixture test;
-    test.host.pools["p"].reachable = true;
-    test.host.reports["p"] = make_status(replication_role::primary, 1);
-    upstream_instance leaving = model::listed_instance("p", true);
-    leaving.leaving = true;
-    test.host.directory.upsert_instance(leaving);
+    model::list_leaving_primary(test);
     test.host.directory.upsert_instance(model::listed_instance("s", false));
     test.host.pools["s"].reachable = false;
     replication_status& old_primary = test.host.reports["p"];
