The two scripts that play seeds share their main loop

Cause: signals_at_the_edges.py repeated the loop of front_soak.py over seeds, with its report and its exit code.

Change: seeded_runs.py has it; of what broke, the first ten lines are printed, as the soak did, and the record is kept.

--- a/test/process/front_soak.py
+++ b/test/process/front_soak.py
@@ -8,13 +8,11 @@
 
 Usage: front_soak.py [--seed N] [--runs N] [--seconds N] [--program FILE]
 """
-import argparse
 import asyncio
 import functools
 import os
 import random
 import resource
-import shutil
 import signal
 import sys
 import tempfile
@@ -23,6 +21,7 @@
 sys.path.insert(0, os.path.join(ROOT, "review", "standins"))
 sys.dont_write_bytecode = True
 import front_signals  # noqa: E402
+import seeded_runs  # noqa: E402
 import world as standins  # noqa: E402
 
 FRONTS = 4
@@ -365,30 +364,18 @@
         self.check(len(self.acknowledged) > 0, "nothing was served")
         return self.broken
 
+    def summary(self):
+        return (f"{len(self.statements)} statements, {len(self.committed)} commits, "
+                f"{len(self.world.cloud.promotions)} promotions, "
+                f"{sum(f.starts for f in self.world.fronts)} starts"
+                f"{', at the limit' if self.at_limit else ''}")
+
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--runs", type=int, default=1)
+    parser = seeded_runs.parser(__doc__)
     parser.add_argument("--seconds", type=int, default=20)
-    parser.add_argument("--program", default="build/release/bronzeplank")
     options = parser.parse_args()
-    failed = 0
-    for seed in range(options.seed, options.seed + options.runs):
-        soak = Soak(seed, options.seconds, options.program)
-        broken = asyncio.run(soak.play())
-        print(f"seed {seed}: {len(soak.statements)} statements, {len(soak.committed)} commits, "
-              f"{len(soak.world.cloud.promotions)} promotions, "
-              f"{sum(f.starts for f in soak.world.fronts)} starts, "
-              f"{'at the limit, ' if soak.at_limit else ''}{len(broken)} broken", flush=True)
-        for what in broken[:10]:
-            print("  " + what)
-        failed += bool(broken)
-        if broken:
-            print(f"  record kept in {soak.folder}")
-        else:
-            shutil.rmtree(soak.folder, ignore_errors=True)
-    sys.exit(1 if failed else 0)
+    seeded_runs.play_all(options, lambda seed: Soak(seed, options.seconds, options.program))
 
 
 if __name__ == "__main__":
--- a/test/process/signals_at_the_edges.py
+++ b/test/process/signals_at_the_edges.py
@@ -6,13 +6,11 @@
 
 Usage: signals_at_the_edges.py [--seed N] [--runs N] [--program FILE]
 """
-import argparse
 import asyncio
 import functools
 import json
 import os
 import random
-import shutil
 import signal
 import sys
 import tempfile
@@ -21,6 +19,7 @@
 sys.path.insert(0, os.path.join(ROOT, "review", "standins"))
 sys.dont_write_bytecode = True
 import front_signals  # noqa: E402
+import seeded_runs  # noqa: E402
 import world as standins  # noqa: E402
 
 FRONTS = 10
@@ -128,26 +127,14 @@
             await self.world.stop()
         return self.broken
 
+    @staticmethod
+    def summary():
+        return f"{FRONTS + SERVES} processes"
+
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--runs", type=int, default=1)
-    parser.add_argument("--program", default="build/release/bronzeplank")
-    options = parser.parse_args()
-    failed = 0
-    for seed in range(options.seed, options.seed + options.runs):
-        edges = Edges(seed, options.program)
-        broken = asyncio.run(edges.play())
-        print(f"seed {seed}: {FRONTS + SERVES} processes, {len(broken)} broken", flush=True)
-        for what in broken:
-            print("  " + what)
-        failed += bool(broken)
-        if broken:
-            print(f"  record kept in {edges.folder}")
-        else:
-            shutil.rmtree(edges.folder, ignore_errors=True)
-    sys.exit(1 if failed else 0)
+    options = seeded_runs.parser(__doc__).parse_args()
+    seeded_runs.play_all(options, lambda seed: Edges(seed, options.program))
 
 
 if __name__ == "__main__":
