--- a/test/process/failover_troubles.py
+++ b/test/process/failover_troubles.py
@@ -185,13 +185,17 @@
           lone_leaver, lone_leaver, held_promotion, held_promotion]
 
 
-async def by_the_seed(rig):
+LEAVERS = [lone_leaver, lone_leaver, lone_leaver, be_deaf, be_dark, crash, kill_some, kill_some,
+           fail_store]
+
+
+async def by_the_seed(rig, troubles=tuple(SINGLE)):
     """Troubles in an order by the seed; several at a time."""
     running = []
     pause_s = 5 / len(rig.world.groups)
     while rig.record.now() - rig.began < rig.seconds:
         await asyncio.sleep(rig.random.uniform(0, pause_s))
-        trouble = rig.random.choice(SINGLE)
+        trouble = rig.random.choice(troubles)
         running.append(asyncio.ensure_future(trouble(rig, rig.random.choice(rig.world.groups))))
     for task in running:
         task.add_done_callback(rig.note_failure)
@@ -200,5 +204,11 @@
         task.cancel()
 
 
-SEQUENCES = {"by-the-seed": by_the_seed, "leaver-then-all-killed": leaver_then_all_killed,
+async def leavers_by_the_seed(rig):
+    """Mostly primaries that leave while the other replicas lag."""
+    await by_the_seed(rig, LEAVERS)
+
+
+SEQUENCES = {"by-the-seed": by_the_seed, "leavers-by-the-seed": leavers_by_the_seed,
+             "leaver-then-all-killed": leaver_then_all_killed,
              "late-promotion": late_promotion}
