--- a/test/process/replicated_group.py
+++ b/test/process/replicated_group.py
@@ -233,6 +233,8 @@
         instance.state = "draining"
         instance.report()
         self.world.record(instance.id, f"is leaving as {instance.role}, {new.id} replaces it")
+        while not self.is_said_to_leave(instance):
+            await asyncio.sleep(0.05)
         await asyncio.sleep(standins.BOUNDS["DrainMs"] / 1000 + extra_s)
         instance.crash()
         self.forget(instance)
@@ -242,6 +244,11 @@
             self.world.heard_at.pop(instance.id, None)
         self.world.record(instance.id, "is gone")
 
+    def is_said_to_leave(self, instance):
+        """Whether the store has accepted the report; the drain begins then."""
+        stored = self.world.store.objects.get(("servers", instance.id))
+        return stored is not None and stored["spec"]["State"] == "draining"
+
     def pick(self, rng, replica=False):
         found = [i for i in self.members if i.server and i not in self.leaving
                  and (not replica or i.role == "replica")]
