--- a/include/bronzeplank/failover.hpp
+++ b/include/bronzeplank/failover.hpp
@@ -5,6 +5,7 @@
 #include "bronzeplank/statement.hpp"
 #include "bronzeplank/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <optional>
@@ -102,6 +103,10 @@
 /// demoted.
 std::optional<std::string> choose_successor(const failover_choice& choice);
 
+/// Formats what a successor was chosen from for a claim, within `max_choice_text` bytes.
+std::string to_text(const failover_choice& choice);
+constexpr std::size_t max_choice_text = 400;
+
 /// In place of a claim's promoted term: any term may have been promoted.
 constexpr std::uint64_t any_term = std::numeric_limits<std::uint64_t>::max();
 
@@ -122,6 +127,10 @@
     /// Whether `promoted_term` covers the promotions of earlier eras as well, whose claims may be
     /// lost.
     bool complete = true;
+    /// The successor's position when it was chosen, with which its term begins; 0.0 before.
+    log_position first_position{};
+    /// What the successor was chosen from, for logs.
+    std::string choice{};
     bool operator==(const failover_claim&) const = default;
 };
 
--- a/include/bronzeplank/primary_tracker.hpp
+++ b/include/bronzeplank/primary_tracker.hpp
@@ -5,6 +5,7 @@
 #include "bronzeplank/fleet_configuration.hpp"
 #include "bronzeplank/statement.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -19,6 +20,14 @@
     bool operator==(const known_primary&) const = default;
 };
 
+/// The position up to which a primary's log held the commits of earlier terms when it began to lead
+/// its term.
+struct term_beginning {
+    known_primary primary;
+    log_position first_position;
+    bool operator==(const term_beginning&) const = default;
+};
+
 /// Checks the primary's leadership by a replica's report: when the report was requested, no newer
 /// term had a primary, since the replica neither follows a newer term nor is paused by a claim of
 /// one. A primary whose term is not known (0) can't be confirmed.
@@ -46,6 +55,15 @@
     std::optional<known_primary> current(const upstream_list& listed,
                                          const std::string& group) const;
 
+    /// Records how the primary's term began; what was recorded first holds.
+    void record_beginning(const term_beginning& beginning);
+
+    /// The first position of the primary's term; nothing if this host hasn't learned it.
+    std::optional<log_position> first_position(const known_primary& primary) const;
+
+    /// How the newest terms began, by term.
+    const std::map<std::uint64_t, term_beginning>& beginnings() const { return m_beginnings; }
+
     /// The highest term of any report.
     std::uint64_t newest_term() const { return m_newest; }
 
@@ -54,6 +72,8 @@
     /// The highest known term in which the instance reported to be a replica.
     std::map<std::string, std::uint64_t, std::less<>> m_replica_terms;
     std::uint64_t m_newest = 0;
+    static constexpr std::size_t kept_beginnings = 4;
+    std::map<std::uint64_t, term_beginning> m_beginnings;
 };
 
 } // namespace bronzeplank
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fmt/format.h>
 #include <tuple>
 
 namespace bronzeplank {
@@ -68,8 +69,35 @@
                        });
 }
 
+// Whole parts only, so that no character is cut.
+std::string joined_within(const std::vector<std::string>& parts, std::size_t limit) {
+    static constexpr std::string_view omission = " ...";
+    std::string text;
+    for (const auto& part : parts) {
+        if (text.size() + part.size() + omission.size() > limit) {
+            return text.append(omission);
+        }
+        text += part;
+    }
+    return text;
+}
+
 } // namespace
 
+std::string to_text(const failover_choice& choice) {
+    std::vector<std::string> parts;
+    for (const auto& replica : choice.answered) {
+        parts.push_back(fmt::format("{}{} {} term {}", parts.empty() ? "" : ", ", replica.instance,
+                                    to_text(replica.status.received), replica.status.term));
+    }
+    parts.push_back(fmt::format("; acknowledged {}; old {}; of", to_text(choice.acknowledged),
+                                choice.old_primary));
+    for (const auto& member : choice.members) {
+        parts.push_back(" " + member);
+    }
+    return joined_within(parts, max_choice_text);
+}
+
 std::optional<std::string> choose_successor(const failover_choice& choice) {
     std::set<std::string> accounted;
     for (const auto& replica : choice.answered) {
--- a/src/core/primary_tracker.cpp
+++ b/src/core/primary_tracker.cpp
@@ -33,6 +33,19 @@
     }
 }
 
+void primary_tracker::record_beginning(const term_beginning& beginning) {
+    m_beginnings.emplace(beginning.primary.term, beginning);
+    if (m_beginnings.size() > kept_beginnings) {
+        m_beginnings.erase(m_beginnings.begin());
+    }
+}
+
+std::optional<log_position> primary_tracker::first_position(const known_primary& primary) const {
+    const auto found = m_beginnings.find(primary.term);
+    const bool known = found != m_beginnings.end() && found->second.primary == primary;
+    return known ? std::optional(found->second.first_position) : std::nullopt;
+}
+
 std::optional<known_primary> primary_tracker::current(const upstream_list& listed,
                                                       const std::string& group) const {
     std::optional<known_primary> best;
--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -33,6 +33,7 @@
     claim_found = 1309,
     successor_chosen = 1310,
     promotion_requested = 1311,
+    acknowledged_write_missing = 1312,
     key_withdrawn = 1401,
     peer_joined = 1501,
     peer_lost = 1502,
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -272,7 +272,7 @@
 
 void caller_session::handle_answer(const statement_target& target, const statement_answer& answer) {
     if (answer.result == upstream_result::done) {
-        complete_statement(answer);
+        complete_statement(target.instance, answer);
         return;
     }
     const bool first = m_pending.opens_transaction || m_state == session_state::idle;
@@ -370,7 +370,8 @@
     fail(kind, reason);
 }
 
-void caller_session::complete_statement(const statement_answer& answer) {
+void caller_session::complete_statement(const std::string& instance,
+                                        const statement_answer& answer) {
     const bool commits = m_pending.request.kind == statement_kind::commit;
     const bool autocommit = m_state == session_state::idle;
     record_outcome("done");
@@ -379,7 +380,9 @@
         // fresher replicas than necessary.
         if (may_write() && answer.position != log_position{}) {
             m_last_write = std::max(m_last_write.value_or(log_position{}), answer.position);
-            m_service.observer.commit_acknowledged(m_operation.route.group, answer.position);
+            m_service.observer.commit_acknowledged(
+                m_operation.route.group,
+                {m_pending.request.id, instance, answer.position, event_loop::now()});
         }
         m_state = session_state::idle;
         m_operation.target.reset();
--- a/src/session/caller_session.hpp
+++ b/src/session/caller_session.hpp
@@ -100,7 +100,7 @@
     error_kind error_after(upstream_result result) const;
     void fail_statement(upstream_result result);
     void end_statement(bool may_have_run, error_kind kind, const std::string& reason);
-    void complete_statement(const statement_answer& answer);
+    void complete_statement(const std::string& instance, const statement_answer& answer);
     void respond(session_answer result);
     void complete() { respond({}); }
     void fail(error_kind kind, const std::string& message);
--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -56,6 +56,30 @@
                                       {"answered", answered}});
 }
 
+void failover_service::record_choice(failover_attempt& attempt,
+                                     const std::string& successor) const {
+    for (const auto& replica : attempt.paused) {
+        if (replica.instance == successor) {
+            attempt.first_position = replica.status.received;
+        }
+    }
+    attempt.choice = to_text(current_choice(attempt));
+}
+
+// The claim that names the successor, before it is finished.
+failover_claim failover_service::claim_for(const failover_attempt& attempt,
+                                           const std::string& successor, std::uint64_t term) const {
+    return {attempt.term,
+            m_router.host(),
+            successor,
+            false,
+            term,
+            attempt.claim_position.era,
+            attempt.complete,
+            attempt.first_position,
+            attempt.choice};
+}
+
 task<bool> failover_service::acquire_claim(failover_attempt& attempt) {
     // An instance that registers later is not established before this claim's lease has expired.
     if (!co_await m_platform.refresh_instances()) {
@@ -225,6 +249,7 @@
         const auto chosen = choose_successor(current_choice(attempt));
         if (chosen && is_list_current(attempt)) {
             log_choice(attempt, *chosen);
+            record_choice(attempt, *chosen);
             co_return *chosen;
         }
         if (!chosen && now - started >= replica_response_timeout) {
@@ -260,9 +285,7 @@
 // effect.
 task<bool> failover_service::store_successor(failover_attempt& attempt, std::string successor,
                                              std::uint64_t term) {
-    const failover_claim wanted{
-        attempt.term,    m_router.host(), successor, false, term, attempt.claim_position.era,
-        attempt.complete};
+    const failover_claim wanted = claim_for(attempt, successor, term);
     const stored_claim written =
         co_await m_platform.write(attempt.group, attempt.claim_position, wanted);
     if (written.succeeded) {
@@ -334,12 +357,14 @@
         const auto status = co_await send_command(successor, replication_command::report, 0);
         if (status && status->role == replication_role::primary) {
             attempt.leading_term = status->term;
+            tracker.record_beginning({{successor, status->term}, attempt.first_position});
             co_return true;
         }
         co_await sleep_for(m_loop, poll_interval);
     }
     // The platform has accepted the successor, so it leads the term even if no host can reach it.
     tracker.record_primary(successor, expected_term);
+    tracker.record_beginning({{successor, expected_term}, attempt.first_position});
     co_return false;
 }
 
@@ -462,9 +487,9 @@
     }
     co_await wait_until_following(attempt, successor);
     co_await wait_for_resumes(attempt);
-    const failover_claim done{
-        attempt.leading_term,       m_router.host(), successor, true, attempt.leading_term,
-        attempt.claim_position.era, attempt.complete};
+    failover_claim done = claim_for(attempt, successor, attempt.leading_term);
+    done.term = attempt.leading_term;
+    done.finished = true;
     co_await m_platform.write(attempt.group, attempt.claim_position, done);
 }
 
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -77,9 +77,48 @@
     on_claim(claim);
 }
 
-void failover_service::record_acknowledged(const std::string& group, const log_position& position) {
+void failover_service::record_acknowledged(const std::string& group, acknowledged_write write) {
     log_position& known = m_acknowledged[group];
-    known = std::max(known, position);
+    known = std::max(known, write.position);
+    m_groups[group].writes.record(std::move(write));
+}
+
+// Checked at each tick, since the former primary may confirm a commit after the term has begun.
+void failover_service::warn_of_missing_writes(const std::string& group, time_point now) {
+    group_state& state = m_groups[group];
+    for (const auto& [term, beginning] : m_directory.primary_tracker_for(group).beginnings()) {
+        if (term <= state.warned_term) {
+            continue;
+        }
+        std::vector<acknowledged_write> missing = state.writes.missing_from(beginning, now);
+        if (!missing.empty()) {
+            state.warned_term = term;
+            ++m_lossy_changes;
+            spawn(log_missing_writes(group, beginning, std::move(missing)));
+        }
+    }
+}
+
+task<void> failover_service::log_missing_writes(std::string group, term_beginning beginning,
+                                                std::vector<acknowledged_write> missing) {
+    stored_claim present;
+    const duration age = event_loop::now() - missing.back().acknowledged_at;
+    if (m_platform.reachable()) {
+        present = co_await m_platform.read(group);
+    }
+    const acknowledged_write& newest = missing.back();
+    log(log_event::acknowledged_write_missing,
+        {{"id", newest.id},
+         {"group", group},
+         {"instance", newest.instance},
+         {"position", to_text(newest.position)},
+         {"ago_ms", std::to_string(to_milliseconds(age))},
+         {"primary", beginning.primary.instance},
+         {"term", std::to_string(beginning.primary.term)},
+         {"first_position", to_text(beginning.first_position)},
+         {"count", std::to_string(missing.size())},
+         {"promoter", present.succeeded ? present.claim.holder : ""},
+         {"choice", present.succeeded ? present.claim.choice : ""}});
 }
 
 log_position failover_service::newest_acknowledged(const std::string& group) const {
@@ -100,6 +139,7 @@
     if (const auto& configuration = m_directory.configuration()) {
         for (const auto& [name, group] : configuration->groups) {
             update_roster(name, now);
+            warn_of_missing_writes(name, now);
             evaluate_group(name, now);
             renew_claim_if_due(name, now);
             store_members_if_due(name, now);
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -2,6 +2,7 @@
 /// Fails groups over when their primary is unreachable, stalled or shutting down.
 #pragma once
 
+#include "bronzeplank/acknowledged_writes.hpp"
 #include "bronzeplank/failover.hpp"
 #include "bronzeplank/group_roster.hpp"
 #include "runtime/task.hpp"
@@ -13,6 +14,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bronzeplank {
 
@@ -112,10 +114,13 @@
     /// What the router needs to prove a primary's leadership.
     leadership_sources make_leadership_sources();
 
-    /// Records that this host has acknowledged a commit at this position to a caller.
-    void record_acknowledged(const std::string& group, const log_position& position);
+    /// Records that this host has acknowledged a commit to a caller. If a newer term turns out to
+    /// have begun without it, a warning names it.
+    void record_acknowledged(const std::string& group, acknowledged_write write);
     /// The newest position that this host has acknowledged, by group.
     std::map<std::string, log_position> acknowledged_positions() const { return m_acknowledged; }
+    /// Changes of primary after which this host has missed a write that it had acknowledged.
+    std::uint64_t lossy_changes() const { return m_lossy_changes; }
 
     /// Promotions that this host has completed.
     std::uint64_t promotions() const { return m_promotions; }
@@ -156,6 +161,9 @@
         std::optional<group_members> stored_members;
         bool storing_members = false;
         time_point next_storing_at{};
+        acknowledged_writes writes;
+        /// The newest term that this host has warned of.
+        std::uint64_t warned_term = 0;
     };
 
     /// Commands of one attempt that still wait for their answers, by instance.
@@ -196,6 +204,9 @@
         time_point lease_end;
         /// When the instances were last read anew.
         time_point listed_at;
+        /// The successor's position when it was chosen, and what it was chosen from.
+        log_position first_position;
+        std::string choice;
         /// Replicas that a pause command was sent to, whether they have answered or not.
         std::set<std::string> pause_requested;
         std::vector<paused_replica> paused;
@@ -204,6 +215,9 @@
 
     task<void> read_claim(std::string group,
                           std::function<void(const std::optional<failover_claim>&)> on_claim);
+    void warn_of_missing_writes(const std::string& group, time_point now);
+    task<void> log_missing_writes(std::string group, term_beginning beginning,
+                                  std::vector<acknowledged_write> missing);
     void tick();
     void evaluate_group(const std::string& group, time_point now);
     failover_evidence collect_evidence(const std::string& group,
@@ -237,6 +251,9 @@
     void log_waiting(const std::string& group, group_state& state);
     void log_claim(const std::string& group, const stored_claim& present);
     void log_choice(const failover_attempt& attempt, const std::string& successor) const;
+    void record_choice(failover_attempt& attempt, const std::string& successor) const;
+    failover_claim claim_for(const failover_attempt& attempt, const std::string& successor,
+                             std::uint64_t term) const;
     static std::string joined(const std::set<std::string>& instances);
     task<bool> resume_paused_replicas(failover_attempt& attempt);
     task<std::string> pause_and_choose_successor(failover_attempt& attempt);
@@ -275,6 +292,7 @@
     std::map<std::string, log_position> m_acknowledged;
     std::set<std::string> m_suspected;
     std::uint64_t m_promotions = 0;
+    std::uint64_t m_lossy_changes = 0;
     timer m_tick;
 };
 
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -78,6 +78,14 @@
     }
 };
 
+/// What a host says of a group's primary.
+struct reported_primary {
+    known_primary primary;
+    /// The position with which its term began, if the host knows it.
+    std::optional<log_position> first_position;
+    bool operator==(const reported_primary&) const = default;
+};
+
 /// Callbacks through which the fleet serves requests of peers, reads the local state that
 /// heartbeats report, and passes on the state that it receives.
 struct fleet_callbacks {
@@ -88,9 +96,9 @@
     std::function<void(const std::string&, verified_position_handler)> request_verified_position;
     std::function<std::map<std::string, pool_status, std::less<>>()> pools;
     std::function<std::map<std::string, workspace_usage>()> usage;
-    std::function<std::map<std::string, known_primary>()> primaries;
+    std::function<std::map<std::string, reported_primary>()> primaries;
     std::function<std::map<std::string, log_position>()> acknowledged;
-    std::function<void(const std::string&, const known_primary&)> record_primary;
+    std::function<void(const std::string&, const reported_primary&)> record_primary;
     /// Versions only, for heartbeats, or with the contents when `with_contents` is set.
     std::function<directory_snapshot(bool with_contents)> snapshot_directory;
     /// Whether a newer instance list is to be requested from peers.
@@ -245,7 +253,7 @@
     /// Incremental heartbeats left until the next full one.
     int m_heartbeats_until_full = 0;
     /// What the last heartbeat to all hosts reported.
-    std::map<std::string, known_primary> m_sent_primaries;
+    std::map<std::string, reported_primary> m_sent_primaries;
     std::map<std::string, log_position> m_sent_acknowledged;
     peer_bus m_bus;
     timer m_tick;
--- a/src/session/fleet_heartbeats.cpp
+++ b/src/session/fleet_heartbeats.cpp
@@ -74,7 +74,11 @@
         peer.acknowledged[newest.group()] = {newest.term(), newest.offset()};
     }
     for (const auto& primary : heartbeat.primaries()) {
-        m_callbacks.record_primary(primary.group(), {primary.instance(), primary.term()});
+        reported_primary reported{{primary.instance(), primary.term()}, std::nullopt};
+        if (primary.has_first_position()) {
+            reported.first_position = log_position{primary.first_term(), primary.first_offset()};
+        }
+        m_callbacks.record_primary(primary.group(), reported);
     }
     if (heartbeat.whole()) {
         handle_full_heartbeat(peer, heartbeat);
@@ -180,13 +184,18 @@
 
 void fleet::write_changed_state(wire::fleet_heartbeat& heartbeat) const {
     const auto primaries = m_callbacks.primaries();
-    for (const auto& [group, primary] : primaries) {
+    for (const auto& [group, reported] : primaries) {
         const auto sent = m_sent_primaries.find(group);
-        if (heartbeat.whole() || sent == m_sent_primaries.end() || sent->second != primary) {
+        if (heartbeat.whole() || sent == m_sent_primaries.end() || sent->second != reported) {
             auto* view = heartbeat.add_primaries();
             view->set_group(group);
-            view->set_instance(primary.instance);
-            view->set_term(primary.term);
+            view->set_instance(reported.primary.instance);
+            view->set_term(reported.primary.term);
+            if (const auto& first = reported.first_position) {
+                view->set_has_first_position(true);
+                view->set_first_term(first->term);
+                view->set_first_offset(first->offset);
+            }
         }
     }
     const auto acknowledged = m_callbacks.acknowledged();
--- a/src/session/session_service.hpp
+++ b/src/session/session_service.hpp
@@ -2,6 +2,7 @@
 /// State that the sessions of a host share: rate limits, read freshness, placement of statements.
 #pragma once
 
+#include "bronzeplank/acknowledged_writes.hpp"
 #include "bronzeplank/demand_share.hpp"
 #include "bronzeplank/error.hpp"
 #include "bronzeplank/freshness_window.hpp"
@@ -35,8 +36,8 @@
 
 /// Callbacks that the sessions of a host call.
 struct session_observer {
-    /// A commit at this position is about to be acknowledged to a caller.
-    std::function<void(const std::string& group, const log_position&)> commit_acknowledged;
+    /// A commit is about to be acknowledged to a caller.
+    std::function<void(const std::string& group, acknowledged_write)> commit_acknowledged;
     /// A statement that needed an instance was answered; outcome is `done`, or the text of the
     /// upstream's result.
     std::function<void(const std::string& workspace, request_class kind, std::string_view outcome,
--- a/test/platform/platform_documents_test.cpp
+++ b/test/platform/platform_documents_test.cpp
@@ -86,8 +86,15 @@
 TEST_CASE("an encoded claim decodes to the same claim") {
     const failover_claim claim{5, "host-\"1\"", "i-7", false, 4, 3, false};
     REQUIRE(read_claim(write_claim(claim)) == claim);
+    const failover_claim chosen{5, "h", "i-7", false, 5, 3, true, {4, 27}, "i-7 at \"4.27\""};
+    REQUIRE(read_claim(write_claim(chosen)) == chosen);
     const auto earlier = read_claim(R"({"term":5,"holder":"h","successor":"","finished":true})");
     REQUIRE(earlier.promoted_term == 5);
+    REQUIRE(earlier.first_position == log_position{});
+    REQUIRE(earlier.choice.empty());
+    failover_claim extreme = chosen;
+    extreme.first_position = {any_term, any_term};
+    REQUIRE(read_claim(write_claim(extreme)).successor == "i-7");
     REQUIRE_THROWS_AS(read_claim(R"({"term":"five"})"), input_error);
 }
 
--- a/test/session/caller_session_test.cpp
+++ b/test/session/caller_session_test.cpp
@@ -176,6 +176,19 @@
     test.submit(make(statement_kind::write));
     REQUIRE_FALSE(test.sent().strict);
 
+    SECTION("is reported with its id, position and instance when it is acknowledged") {
+        std::vector<acknowledged_write> reported;
+        test.host.service->observer.commit_acknowledged = [&](const std::string& group,
+                                                              const acknowledged_write& write) {
+            REQUIRE(group == "g");
+            reported.push_back(write);
+        };
+        test.host.answer(upstream_result::done, {1, 31});
+        REQUIRE(reported.size() == 1);
+        REQUIRE(reported.front().id == "id");
+        REQUIRE(reported.front().instance == "p");
+        REQUIRE(reported.front().position == log_position{1, 31});
+    }
     SECTION("has an unknown outcome and is not sent again when its answer was lost") {
         test.host.answer(upstream_result::unanswered);
         REQUIRE(test.last().error == error_kind::outcome_unknown);
