--- a/include/bronzeplank/group_roster.hpp
+++ b/include/bronzeplank/group_roster.hpp
@@ -28,6 +28,8 @@
     std::uint64_t era = 0;
     /// Where they listen or have listened, as far as it is known.
     std::map<std::string, endpoint> addresses = {};
+    /// When their processes started, in Unix milliseconds, as far as it is known.
+    std::map<std::string, std::int64_t> born_ms = {};
     bool operator==(const group_members&) const = default;
 };
 
@@ -48,6 +50,9 @@
 /// would have been paused for it. Thus the evidence may come from any primary, and that of a newer
 /// one replaces that of the one before.
 ///
+/// A process that starts again under its id may have lost its log. The earlier process stays a
+/// member of its own, under former_process_id(), and has ended.
+///
 /// Usage: `roster.update(listed, now); if (roster.awaits_answers()) {}` ask the instances and call
 /// `roster.record_answer(id, status, established, requested_at)`; `roster.members()`.
 class group_roster {
@@ -63,6 +68,8 @@
         bool leaving = false;
         bool reachable = true;
         endpoint address{};
+        /// The start of its process, in Unix milliseconds; 0 if it is not known.
+        std::int64_t born_ms = 0;
         bool operator==(const listed_member&) const = default;
     };
 
@@ -87,6 +94,13 @@
     /// Where the members listen or have listened.
     std::map<std::string, endpoint> addresses() const;
 
+    /// When the members' processes started, in Unix milliseconds, as far as it is known.
+    std::map<std::string, std::int64_t> born_ms() const;
+
+    /// The member that stands for a process of the instance that started at that time, once another
+    /// one has started under the same id.
+    static std::string former_process_id(const std::string& id, std::int64_t born_ms);
+
     /// Adds members that other hosts have stored and that this one has neither seen nor left out.
     void merge(const group_members& stored, time_point now);
 
@@ -117,6 +131,7 @@
         time_point last_listed;
         time_point last_reachable;
         endpoint address;
+        std::int64_t born_ms = 0;
         /// When another instance was asked that has answered at the address.
         std::optional<time_point> replaced_at;
         evidence after_exit;
@@ -125,6 +140,8 @@
     static bool exited(const known_member& known);
     static bool has_ended(const known_member& known);
     static bool replaces(const known_member& later, const known_member& known);
+    static bool has_restarted(const known_member& known, std::int64_t born_ms);
+    void add_former_process(const std::string& id, const known_member& former, time_point now);
     static bool is_obsolete(const known_member& known, time_point now);
     static void take_answer(evidence& target, const std::string& instance,
                             const replication_status& status, bool may_settle);
--- a/src/core/group_roster.cpp
+++ b/src/core/group_roster.cpp
@@ -1,6 +1,7 @@
 #include "bronzeplank/group_roster.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace bronzeplank {
 
@@ -13,7 +14,11 @@
     for (const auto& [id, seen] : listed) {
         const auto [entry, added] = m_members.try_emplace(id);
         known_member& known = entry->second;
+        if (has_restarted(known, seen.born_ms)) {
+            add_former_process(id, std::exchange(known, {}), now);
+        }
         known.listed = true;
+        known.born_ms = seen.born_ms;
         known.leaving = seen.leaving;
         known.last_listed = now;
         known.address = seen.address;
@@ -33,6 +38,30 @@
                   [&](const auto& entry) { return now - entry.second > unlisted_retention; });
 }
 
+std::string group_roster::former_process_id(const std::string& id, std::int64_t born_ms) {
+    return fmt::format("{}@{}", id, born_ms);
+}
+
+bool group_roster::has_restarted(const known_member& known, std::int64_t born_ms) {
+    return known.born_ms != 0 && known.born_ms < born_ms;
+}
+
+// Its address is that of the process that runs now.
+void group_roster::add_former_process(const std::string& id, const known_member& former,
+                                      time_point now) {
+    const std::string former_id = former_process_id(id, former.born_ms);
+    if (m_left_out.contains(former_id)) {
+        return;
+    }
+    const auto [entry, added] = m_members.try_emplace(former_id);
+    if (added) {
+        entry->second.born_ms = former.born_ms;
+        entry->second.last_listed = now;
+        entry->second.last_reachable = now;
+        entry->second.replaced_at = now;
+    }
+}
+
 bool group_roster::is_obsolete(const known_member& known, time_point now) {
     return (has_ended(known) && known.after_exit.settled) ||
            now - known.last_listed > unlisted_retention;
@@ -42,11 +71,20 @@
 // listed.
 void group_roster::merge(const group_members& stored, time_point now) {
     for (const auto& id : stored.members) {
+        const auto born = stored.born_ms.find(id);
+        const std::int64_t born_ms = born == stored.born_ms.end() ? 0 : born->second;
+        const auto present = m_members.find(id);
+        if (present != m_members.end() && born_ms != 0 && born_ms < present->second.born_ms) {
+            known_member former;
+            former.born_ms = born_ms;
+            add_former_process(id, former, now);
+        }
         if (!m_left_out.contains(id) && !m_members.contains(id)) {
             known_member& added = m_members[id];
             added.leaving = stored.leaving.contains(id);
             added.last_listed = now;
             added.last_reachable = now;
+            added.born_ms = born_ms;
             if (const auto address = stored.addresses.find(id); address != stored.addresses.end()) {
                 added.address = address->second;
             }
@@ -150,4 +188,14 @@
     return found;
 }
 
+std::map<std::string, std::int64_t> group_roster::born_ms() const {
+    std::map<std::string, std::int64_t> found;
+    for (const auto& [id, known] : m_members) {
+        if (known.born_ms != 0) {
+            found.emplace(id, known.born_ms);
+        }
+    }
+    return found;
+}
+
 } // namespace bronzeplank
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -130,7 +130,7 @@
     std::map<std::string, group_roster::listed_member> listed;
     for (const auto& [id, instance] : m_directory.members(group)) {
         listed[id] = {instance.leaving, m_router.reachability_of(id).unreachable_from == 0,
-                      instance.address};
+                      instance.address, instance.born_ms};
     }
     group_state& state = m_groups[group];
     const auto primary = m_directory.primary(group);
@@ -151,6 +151,9 @@
         state.last_primary = primary->instance;
     }
     state.last_term = primary->term;
+    if (const upstream_instance* listed_primary = m_directory.instance(primary->instance)) {
+        state.last_primary_born_ms = listed_primary->born_ms;
+    }
 }
 
 // Every host needs the answers about an instance that has left, as any of them may have to replace
@@ -225,8 +228,14 @@
 std::string failover_service::replaced_primary(const group_state& state) const {
     const known_primary& claimed = state.claimed_primary;
     const bool newer = claimed.term > state.last_term && !claimed.instance.empty();
-    return newer && m_directory.instance(claimed.instance) == nullptr ? claimed.instance
-                                                                      : state.last_primary;
+    if (newer && m_directory.instance(claimed.instance) == nullptr) {
+        return claimed.instance;
+    }
+    // If it has started again, the process that led has ended, and the present one may follow
+    // another primary.
+    const std::string former =
+        group_roster::former_process_id(state.last_primary, state.last_primary_born_ms);
+    return state.roster.members().contains(former) ? former : state.last_primary;
 }
 
 // Whether a failover can succeed as far as this host can tell. One that can't would only pause
@@ -356,8 +365,12 @@
 
 group_members failover_service::current_members(const std::string& group) {
     const group_roster& roster = m_groups[group].roster;
-    return {m_directory.primary(group).value_or(known_primary{}).instance, roster.members(),
-            roster.leaving(), m_platform.era().number, roster.addresses()};
+    return {m_directory.primary(group).value_or(known_primary{}).instance,
+            roster.members(),
+            roster.leaving(),
+            m_platform.era().number,
+            roster.addresses(),
+            roster.born_ms()};
 }
 
 // Only the gateway of the primary stores the members: it decides which commits are acknowledged.
@@ -423,6 +436,8 @@
     if (present.is_current() && state.last_primary.empty()) {
         const bool led = claim.finished && !claim.successor.empty();
         state.last_primary = led ? claim.successor : present.members.primary;
+        const auto born = present.members.born_ms.find(state.last_primary);
+        state.last_primary_born_ms = born == present.members.born_ms.end() ? 0 : born->second;
     }
     co_return true;
 }
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -139,6 +139,8 @@
         /// The last known primary; it may be unlisted.
         std::string last_primary;
         std::uint64_t last_term = 0;
+        /// When its process started; 0 if it is not known.
+        std::int64_t last_primary_born_ms = 0;
         /// The newest primary that a claim names; its promotion may not have taken effect.
         known_primary claimed_primary;
         /// When this host learned that it leads.
--- a/test/platform/platform_documents_test.cpp
+++ b/test/platform/platform_documents_test.cpp
@@ -93,7 +93,8 @@
 
 TEST_CASE("encoded members of a group decode to the same members") {
     const group_members members{
-        "i-1", {"i-1", "i-\"2\"", "i-3"}, {"i-3"}, 4, {{"i-1", {"10.0.0.1", 80}}}};
+        "i-1", {"i-1", "i-\"2\"", "i-3"},   {"i-3"},
+        4,     {{"i-1", {"10.0.0.1", 80}}}, {{"i-1", 1'700'000'000'000}, {"i-3", 1}}};
     REQUIRE(read_members(write_members(members)) == members);
     REQUIRE(read_members(write_members({})) == group_members{});
     REQUIRE_THROWS_AS(read_members(R"({"primary":"i-1","members":"i-1"})"), input_error);
