--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -139,6 +139,9 @@
         return;
     }
     settle_roster(group, primary->instance, now);
+    if (is_former(state, *primary)) {
+        return;
+    }
     const bool promoted = primary->instance != state.last_primary ||
                           (primary->term > state.last_term && state.last_term > 0);
     if (promoted) {
@@ -153,12 +156,34 @@
     state.last_term = primary->term;
 }
 
+// A primary of an earlier term may have followed the last one, and have its commits.
+bool failover_service::is_former(const group_state& state, const known_primary& primary) {
+    return primary.instance != state.last_primary && primary.term < state.last_term;
+}
+
+// A former primary that still leads its term has followed no newer one. It counts again, unless the
+// newer one may still lead, unlisted.
+void failover_service::restore_former_primary(const std::string& group,
+                                              const known_primary& reported) {
+    group_state& state = m_groups[group];
+    const bool may_run = m_directory.instance(state.last_primary) == nullptr &&
+                         state.roster.members().contains(state.last_primary) &&
+                         !state.roster.leaving().contains(state.last_primary);
+    if (is_former(state, reported) && !may_run && m_directory.primary(group) == reported) {
+        state.last_primary = reported.instance;
+        state.last_term = reported.term;
+        state.primary_since = event_loop::now();
+    }
+}
+
 // Every host needs the answers about an instance that has left, as any of them may have to replace
 // the primary; they ask at different times.
 void failover_service::settle_roster(const std::string& group, const std::string& primary,
                                      time_point now) {
     group_state& state = m_groups[group];
-    if (!state.roster.awaits_answers() && !completes_roster(group, now)) {
+    const bool is_asked = state.roster.awaits_answers() || completes_roster(group, now) ||
+                          is_former(state, *m_directory.primary(group));
+    if (!is_asked) {
         state.next_roster_question_at.reset();
         return;
     }
@@ -194,6 +219,13 @@
     if (!status) {
         co_return;
     }
+    if (status->role == replication_role::primary) {
+        restore_former_primary(group, {primary, status->term});
+    }
+    // In a newer term, an instance that is gone may have acknowledged what this primary lacks.
+    if (status->term < m_groups[group].last_term) {
+        co_return;
+    }
     m_groups[group].roster.record_answer(primary, *status, false, requested_at);
     const time_point replicas_requested_at = event_loop::now();
     ask_replicas(group, primary,
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -223,6 +223,8 @@
     group_members current_members(const std::string& group);
     void update_roster(const std::string& group, time_point now);
     void settle_roster(const std::string& group, const std::string& primary, time_point now);
+    static bool is_former(const group_state& state, const known_primary& primary);
+    void restore_former_primary(const std::string& group, const known_primary& reported);
     bool completes_roster(const std::string& group, time_point now);
     task<void> ask_for_roster(std::string group, std::string primary);
     /// Asks all members but the primary for their status.
