--- a/test/model/failover_instances.hpp
+++ b/test/model/failover_instances.hpp
@@ -31,8 +31,15 @@
     bool platform_counts_terms = true;
     /// Commands and their answers may be late, by up to this.
     std::chrono::milliseconds max_command_delay{1000};
+    /// The part of the promotion calls that get no answer and are executed late, by up to
+    /// `max_promotion_delay`.
+    double unanswered_promotions = 0;
+    std::chrono::milliseconds max_promotion_delay{6000};
 };
 
+/// What a coordinator learns of its promotion call.
+enum class call_result { done, refused, unanswered };
+
 /// A command, or its answer, is discarded after this time.
 constexpr std::chrono::milliseconds command_life{1000};
 /// A commit that hangs is given up after this time.
@@ -235,14 +242,19 @@
         std::erase_if(m_commits, [&](const auto& one) { return one.domain == domain; });
     }
 
-    /// Whether the platform accepts the successor; it leads some time later.
-    bool promote(const std::string& id, std::uint64_t term, std::uint64_t token) {
+    /// The successor leads some time later, unless the platform refuses the call.
+    call_result promote(const std::string& id, std::uint64_t term, std::uint64_t token) {
         if (token < m_newest_token || find(id) == nullptr) {
-            return false;
+            return call_result::refused;
         }
         m_newest_token = token;
-        m_promotions.push_back({id, term, m_now + step * (6 + m_random.pick(13))});
-        return true;
+        const bool unanswered =
+            m_wire.unanswered_promotions > 0 && m_random.chance(m_wire.unanswered_promotions);
+        const duration late =
+            unanswered ? step * m_random.pick(static_cast<int>(m_wire.max_promotion_delay / step))
+                       : duration(0);
+        m_promotions.push_back({id, term, m_now + late + step * (6 + m_random.pick(13))});
+        return unanswered ? call_result::unanswered : call_result::done;
     }
 
     /// Returns a promotion's successor when it starts to lead.
--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -122,6 +122,7 @@
     static constexpr std::chrono::milliseconds replica_response_timeout{500};
     static constexpr std::chrono::milliseconds verification_timeout{300};
     static constexpr std::chrono::milliseconds promotion_timeout{3000};
+    static constexpr std::chrono::milliseconds reply_timeout{500};
     static constexpr std::chrono::milliseconds follow_timeout{600};
     static constexpr std::chrono::milliseconds resume_timeout{500};
     static constexpr std::chrono::milliseconds commit_confirmation_timeout{600};
@@ -130,6 +131,7 @@
         pausing,
         settling,
         verifying,
+        requesting,
         promoting,
         following,
         demoting,
@@ -159,6 +161,8 @@
         std::set<std::string> not_following;
         /// Those of them that follow the successor, but were paused again.
         std::set<std::string> paused_late;
+        /// A promotion call has got no answer.
+        bool call_unanswered = false;
         /// The successor answered that it is the primary.
         bool leads = false;
         std::uint64_t led_term = 0;
@@ -765,6 +769,9 @@
         case attempt_phase::resuming:
             await_resumed(domain, own, attempt);
             break;
+        case attempt_phase::requesting:
+            repeat_request(own, attempt);
+            break;
         case attempt_phase::promoting:
             await_promotion(domain, own, attempt);
             break;
@@ -881,15 +888,27 @@
     }
 
     void request_promotion(host& own, attempt_state& attempt) {
-        if (!m_group.promote(attempt.successor, attempt.term, token_of(attempt))) {
+        const call_result result =
+            m_group.promote(attempt.successor, attempt.term, token_of(attempt));
+        if (result == call_result::refused) {
             own.attempt.reset();
             return;
         }
-        attempt.phase = attempt_phase::promoting;
+        const bool answered = result == call_result::done;
+        attempt.call_unanswered |= !answered;
+        attempt.phase = answered ? attempt_phase::promoting : attempt_phase::requesting;
         attempt.phase_since = m_now;
         attempt.pending.clear();
     }
 
+    void repeat_request(host& own, attempt_state& attempt) {
+        if (!in_lease(attempt)) {
+            own.attempt.reset();
+        } else if (m_now - attempt.phase_since >= reply_timeout) {
+            request_promotion(own, attempt);
+        }
+    }
+
     // An unfinished claim names its successor before the promotion is sent.
     bool record_successor(host& own, attempt_state& attempt, const std::string& successor) {
         if (omits(omitted_rule::unbroken_contact)) {
--- a/test/model/failover_walks.hpp
+++ b/test/model/failover_walks.hpp
@@ -16,6 +16,7 @@
 /// The sums over all walks.
 struct walk_totals {
     int lost = 0;
+    int losing_walks = 0;
     int stale = 0;
     int promotions = 0;
     int reversed_tokens = 0;
@@ -24,10 +25,11 @@
 
 /// Runs the walks of consecutive seeds, and names those that break a promise.
 inline walk_totals walk_all(std::uint64_t walks, store_behavior store,
-                            host_behavior hosts = host_behavior::keep_running) {
+                            host_behavior hosts = host_behavior::keep_running,
+                            const wire_behavior& wire = {}) {
     walk_totals totals;
     for (std::uint64_t i = 0; i < walks; ++i) {
-        failover_model walked(first_seed() + i, {}, store, hosts);
+        failover_model walked(first_seed() + i, {}, store, hosts, wire);
         walked.run(steps_per_walk);
         totals.reversed_tokens += walked.reversed_tokens();
         if (walked.lost() + walked.stale() + walked.reversed_tokens() > 0) {
@@ -35,6 +37,7 @@
                                   << walked.stale());
         }
         totals.lost += walked.lost();
+        totals.losing_walks += walked.lost() > 0 ? 1 : 0;
         totals.stale += walked.stale();
         totals.promotions += walked.promotions();
         totals.acknowledged += walked.acknowledged();
