--- a/include/bronzeplank/failover.hpp
+++ b/include/bronzeplank/failover.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -82,8 +83,8 @@
     bool members_complete = true;
     /// The old primary can't do its work, although it answers.
     bool old_primary_unfit = false;
-    /// The instance whose promotion an unfinished claim may have requested.
-    std::string requested_before;
+    /// The instances whose promotion may have been requested and still take effect.
+    std::set<std::string> requested_before;
 };
 
 /// Whether no two of the members can acknowledge a commit together any more: all but the old
@@ -122,9 +123,17 @@
     /// Whether `promoted_term` covers the promotions of earlier eras as well, whose claims may be
     /// lost.
     bool complete = true;
+    /// Instances whose promotion was requested without a definite end, by this claim or an earlier
+    /// one, each with the fencing token of the claim that requested it. They may begin to lead at
+    /// any time. The successor of an unfinished claim is one of them, too.
+    std::map<std::string, std::uint64_t> in_doubt{};
     bool operator==(const failover_claim&) const = default;
 };
 
+/// A promotion without an answer is taken to have no effect any more this long after a host first
+/// saw the claim that names its instance.
+constexpr std::chrono::seconds promotion_lifetime{10};
+
 /// A claim's holder acts on it for at most this long after sending it.
 constexpr std::chrono::milliseconds claim_lease{2000};
 /// Other hosts wait this long after they first saw an unfinished claim before they supersede it:
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -95,7 +95,7 @@
     }
     const auto received = [](const paused_replica& replica) { return replica.status.received; };
     const auto rank = [&](const paused_replica& replica) {
-        return std::tuple(received(replica), replica.instance == choice.requested_before,
+        return std::tuple(received(replica), choice.requested_before.contains(replica.instance),
                           replica.preferred);
     };
     const auto best = std::max_element(
--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -66,6 +66,7 @@
         co_return false;
     }
     log_claim(attempt.group, present);
+    note_doubts(attempt.group, present);
     if (may_be_held(attempt.group, present, event_loop::now()) ||
         !co_await merge_stored_members(attempt.group, present.claim)) {
         co_return false;
@@ -103,12 +104,12 @@
     attempt.lease_end = now + claim_lease;
     attempt.listed_at = now;
     attempt.promoted_before = present.claim.promoted_term;
-    attempt.requested_before = present.claim.finished ? "" : present.claim.successor;
+    attempt.in_doubt = promotions_in_doubt(attempt.group);
     attempt.promoted_term = present.claim.promoted_term;
     attempt.complete = present.covers_promotions();
-    const failover_claim wanted{attempt.term,    m_router.host(),       "",
-                                false,           attempt.promoted_term, present.position.era,
-                                attempt.complete};
+    const failover_claim wanted{
+        attempt.term,     m_router.host(), "", false, attempt.promoted_term, present.position.era,
+        attempt.complete, attempt.in_doubt};
     const stored_claim written = co_await m_platform.write(attempt.group, present.position, wanted);
     attempt.claim_position = written.position;
     attempt.token = written.fencing_token();
@@ -127,7 +128,9 @@
     choice.old_primary = replaced_primary(state);
     choice.acknowledged = newest_acknowledged(attempt.group);
     choice.old_primary_unfit = primary_answers(attempt.reason);
-    choice.requested_before = attempt.requested_before;
+    for (const auto& [id, token] : attempt.in_doubt) {
+        choice.requested_before.insert(id);
+    }
     return choice;
 }
 
@@ -261,8 +264,8 @@
 task<bool> failover_service::store_successor(failover_attempt& attempt, std::string successor,
                                              std::uint64_t term) {
     const failover_claim wanted{
-        attempt.term,    m_router.host(), successor, false, term, attempt.claim_position.era,
-        attempt.complete};
+        attempt.term,     m_router.host(), successor, false, term, attempt.claim_position.era,
+        attempt.complete, attempt.in_doubt};
     const stored_claim written =
         co_await m_platform.write(attempt.group, attempt.claim_position, wanted);
     if (written.succeeded) {
@@ -325,6 +328,8 @@
         }
         accepted = result == promotion_result::done;
         if (!accepted) {
+            // It may take effect later, also if the next try is answered.
+            attempt.in_doubt[successor] = attempt.token;
             repeat_pause(attempt, successor);
             co_await sleep_for(m_loop, poll_interval);
         }
@@ -463,8 +468,8 @@
     co_await wait_until_following(attempt, successor);
     co_await wait_for_resumes(attempt);
     const failover_claim done{
-        attempt.leading_term,       m_router.host(), successor, true, attempt.leading_term,
-        attempt.claim_position.era, attempt.complete};
+        attempt.leading_term,       m_router.host(),  successor,       true, attempt.leading_term,
+        attempt.claim_position.era, attempt.complete, attempt.in_doubt};
     co_await m_platform.write(attempt.group, attempt.claim_position, done);
 }
 
@@ -477,9 +482,14 @@
     const stored_claim present = co_await m_platform.read(attempt.group);
     if (present.succeeded && present.is_current() && !present.claim.finished &&
         present.claim.term == attempt.term && present.claim.holder == m_router.host()) {
-        const failover_claim released{
-            attempt.term,         m_router.host(), "", true, attempt.promoted_before,
-            present.position.era, attempt.complete};
+        const failover_claim released{attempt.term,
+                                      m_router.host(),
+                                      "",
+                                      true,
+                                      attempt.promoted_before,
+                                      present.position.era,
+                                      attempt.complete,
+                                      attempt.in_doubt};
         co_await m_platform.write(attempt.group, present.position, released);
     }
 }
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -48,6 +48,13 @@
                    : &found->second.stored_members->members;
     };
     sources.platform_reachable = m_platform.reachable;
+    sources.in_doubt = [this](const std::string& group) {
+        std::set<std::string> instances;
+        for (const auto& [id, token] : promotions_in_doubt(group)) {
+            instances.insert(id);
+        }
+        return instances;
+    };
     sources.read_claim = [this](const std::string& group, auto on_claim) {
         spawn(read_claim(group, std::move(on_claim)));
     };
@@ -67,6 +74,7 @@
         const stored_claim stored = co_await m_platform.read(group);
         const bool unreadable = stored.position.revision > 0 && stored.claim.term == 0;
         if (stored.succeeded && !unreadable) {
+            note_doubts(group, stored);
             claim = stored.claim;
             claim->complete = stored.covers_promotions();
             if (!claim->complete && !is_era_settled()) {
@@ -77,6 +85,46 @@
     on_claim(claim);
 }
 
+// A claim that is read again doesn't prolong a doubt, whichever claim carries it.
+void failover_service::note_doubts(const std::string& group, const stored_claim& present) {
+    const failover_claim& claim = present.claim;
+    std::map<std::string, std::uint64_t> named = claim.in_doubt;
+    if (!claim.finished && !claim.successor.empty()) {
+        named[claim.successor] = present.fencing_token();
+    }
+    const time_point now = event_loop::now();
+    std::map<std::string, promotion_doubt>& known = m_groups[group].in_doubt;
+    // The successor of a finished claim leads by a call that was answered.
+    if (claim.finished && !named.contains(claim.successor)) {
+        known.erase(claim.successor);
+    }
+    std::erase_if(known, [&](const auto& entry) {
+        return !named.contains(entry.first) && now - entry.second.seen_at >= promotion_lifetime;
+    });
+    for (const auto& [id, token] : named) {
+        const auto [entry, added] = known.try_emplace(id, promotion_doubt{token, now});
+        if (!added && entry->second.token < token) {
+            entry->second = {token, now};
+        }
+    }
+}
+
+std::map<std::string, std::uint64_t>
+failover_service::promotions_in_doubt(const std::string& group) const {
+    std::map<std::string, std::uint64_t> found;
+    const auto state = m_groups.find(group);
+    if (state == m_groups.end()) {
+        return found;
+    }
+    const time_point now = event_loop::now();
+    for (const auto& [id, doubt] : state->second.in_doubt) {
+        if (now - doubt.seen_at < promotion_lifetime) {
+            found.emplace(id, doubt.token);
+        }
+    }
+    return found;
+}
+
 void failover_service::record_acknowledged(const std::string& group, const log_position& position) {
     log_position& known = m_acknowledged[group];
     known = std::max(known, position);
@@ -455,6 +503,9 @@
 // The proof comes after the claim was read: a claim that is written meanwhile makes the write fail.
 task<bool> failover_service::write_renewed_claim(std::string group, known_primary primary) {
     const stored_claim present = co_await m_platform.read(group);
+    if (present.succeeded) {
+        note_doubts(group, present);
+    }
     const bool covers = present.covers_promotions();
     const bool newer = present.claim.promoted_term > primary.term;
     if (!present.succeeded ||
@@ -468,7 +519,8 @@
             co_return false;
         }
         const failover_claim renewed{
-            primary.term, "", primary.instance, true, primary.term, present.position.era, true};
+            primary.term,         "",   primary.instance,          true, primary.term,
+            present.position.era, true, promotions_in_doubt(group)};
         const stored_claim written = co_await m_platform.write(group, present.position, renewed);
         if (!written.succeeded) {
             co_return false;
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -121,6 +121,14 @@
     std::uint64_t promotions() const { return m_promotions; }
 
 private:
+    /// A promotion call without a definite end.
+    struct promotion_doubt {
+        /// The fencing token of the claim that requested it.
+        std::uint64_t token = 0;
+        /// When this host first saw a claim that names it.
+        time_point seen_at;
+    };
+
     struct group_state {
         std::optional<time_point> reason_since;
         failover_reason reason = failover_reason::none;
@@ -156,6 +164,8 @@
         std::optional<group_members> stored_members;
         bool storing_members = false;
         time_point next_storing_at{};
+        /// Instances whose promotion may still take effect.
+        std::map<std::string, promotion_doubt> in_doubt;
     };
 
     /// Commands of one attempt that still wait for their answers, by instance.
@@ -186,8 +196,8 @@
         /// The newest term that may have been promoted before this attempt, and as stored now.
         std::uint64_t promoted_before = 0;
         std::uint64_t promoted_term = 0;
-        /// The successor of the claim before, if it wasn't finished.
-        std::string requested_before;
+        /// Instances whose promotion may still take effect, as the claim names them.
+        std::map<std::string, std::uint64_t> in_doubt;
         /// Whether `promoted_term` covers the promotions of earlier eras of the store.
         bool complete = true;
         /// The claim's position after its last write.
@@ -204,6 +214,8 @@
 
     task<void> read_claim(std::string group,
                           std::function<void(const std::optional<failover_claim>&)> on_claim);
+    void note_doubts(const std::string& group, const stored_claim& present);
+    std::map<std::string, std::uint64_t> promotions_in_doubt(const std::string& group) const;
     void tick();
     void evaluate_group(const std::string& group, time_point now);
     failover_evidence collect_evidence(const std::string& group,
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -365,6 +365,9 @@
     if (commits_without_replicas(group) || !has_replicas(m_directory, group, instance)) {
         return false;
     }
+    if (!others_in_doubt(group, instance).empty()) {
+        return true;
+    }
     const established_replicas& replicas = established_in(group);
     const upstream_list& members = m_directory.members(group);
     const bool has_new = std::any_of(members.begin(), members.end(), [&](const auto& entry) {
@@ -376,6 +379,70 @@
            !contact_with(group).contact.unbroken(now);
 }
 
+// The instances, other than the primary, that may run and may begin to lead at any time.
+std::set<std::string> upstream_router::others_in_doubt(const std::string& group,
+                                                       const std::string& primary) const {
+    std::set<std::string> found =
+        m_sources.in_doubt ? m_sources.in_doubt(group) : std::set<std::string>();
+    if (found.empty()) {
+        return found;
+    }
+    const std::set<std::string> members = members_of(group);
+    std::erase_if(found,
+                  [&](const std::string& id) { return id == primary || !members.contains(id); });
+    return found;
+}
+
+bool upstream_router::is_received(const std::string& group, const std::string& primary,
+                                  const commit_request& request) const {
+    const std::set<std::string> in_doubt = others_in_doubt(group, primary);
+    return request.established_has_it &&
+           std::all_of(in_doubt.begin(), in_doubt.end(),
+                       [&](const auto& id) { return request.received_by.contains(id); });
+}
+
+void upstream_router::record_received(const std::string& group, const known_primary& primary,
+                                      const std::string& replica,
+                                      const replication_status& status) {
+    if (!confirms_leadership(status, primary)) {
+        return;
+    }
+    const bool suffices =
+        established_in(group).is_established(replica) && is_stored(group, replica);
+    std::vector<commit_request> received;
+    std::erase_if(m_commit_rounds[group].waiting, [&](commit_request& request) {
+        if (request.position.term != primary.term || status.received < request.position) {
+            return false;
+        }
+        request.received_by.insert(replica);
+        request.established_has_it |= suffices;
+        const bool enough = is_received(group, primary.instance, request);
+        if (enough) {
+            received.push_back(std::move(request));
+        }
+        return enough;
+    });
+    for (auto& request : received) {
+        acknowledge_in_contact(group, primary.instance, std::move(request));
+    }
+}
+
+// To restore contact, the claim is read, which may name instances that are in doubt.
+void upstream_router::acknowledge_in_contact(const std::string& group, const std::string& instance,
+                                             commit_request request) {
+    require_contact(group, [this, group, instance, request = std::move(request)](bool holds) {
+        if (!holds || is_received(group, instance, request)) {
+            request.on_confirmed(holds);
+            return;
+        }
+        commit_round& round = m_commit_rounds[group];
+        round.waiting.push_back(request);
+        if (!round.running) {
+            start_commit_round(group, instance);
+        }
+    });
+}
+
 void upstream_router::confirm_commit(const std::string& group, const std::string& instance,
                                      const log_position& position, duration took,
                                      std::function<void(bool)> on_confirmed) {
@@ -403,7 +470,12 @@
 void upstream_router::start_commit_round(const std::string& group, const std::string& instance) {
     commit_round& round = m_commit_rounds[group];
     round.running = true;
-    const std::vector<std::string> replicas = confirming_replicas(group, instance);
+    std::vector<std::string> replicas = confirming_replicas(group, instance);
+    for (const auto& id : others_in_doubt(group, instance)) {
+        if (std::find(replicas.begin(), replicas.end(), id) == replicas.end()) {
+            replicas.push_back(id);
+        }
+    }
     const auto unanswered = std::make_shared<std::size_t>(replicas.size());
     if (replicas.empty()) {
         finish_commit_round(group);
@@ -414,22 +486,8 @@
                      [this, group, instance, replica,
                       unanswered](const std::optional<replication_status>& status) {
                          const auto primary = m_directory.primary(group);
-                         if (status && primary && primary->instance == instance &&
-                             established_in(group).is_established(replica) &&
-                             is_stored(group, replica) && confirms_leadership(*status, *primary)) {
-                             std::vector<commit_request> confirmed;
-                             std::erase_if(
-                                 m_commit_rounds[group].waiting, [&](commit_request& request) {
-                                     const bool received = request.position.term == primary->term &&
-                                                           status->received >= request.position;
-                                     if (received) {
-                                         confirmed.push_back(std::move(request));
-                                     }
-                                     return received;
-                                 });
-                             for (const auto& request : confirmed) {
-                                 require_contact(group, request.on_confirmed);
-                             }
+                         if (status && primary && primary->instance == instance) {
+                             record_received(group, *primary, replica, *status);
                          }
                          if (--*unanswered == 0) {
                              finish_commit_round(group);
@@ -628,7 +686,14 @@
         return;
     }
     if (!contact_with(group).contact.unbroken(event_loop::now())) {
-        require_contact(group, std::move(on_checked));
+        require_contact(group,
+                        [this, group, instance, on_checked = std::move(on_checked)](bool holds) {
+                            if (holds) {
+                                ask_those_in_doubt(group, instance, on_checked);
+                            } else {
+                                on_checked(false);
+                            }
+                        });
         return;
     }
     const std::string replica = confirming_replicas.front();
@@ -649,10 +714,42 @@
                 on_checked(false);
                 return;
             }
-            require_contact(group, std::move(on_checked));
+            require_contact(
+                group, [this, group, instance, on_checked = std::move(on_checked)](bool holds) {
+                    if (holds) {
+                        ask_those_in_doubt(group, instance, on_checked);
+                    } else {
+                        on_checked(false);
+                    }
+                });
         });
 }
 
+// An instance that may begin to lead at any time has to answer that it doesn't.
+void upstream_router::ask_those_in_doubt(const std::string& group, const std::string& instance,
+                                         const std::function<void(bool)>& on_checked) {
+    const std::set<std::string> asked = others_in_doubt(group, instance);
+    if (asked.empty()) {
+        on_checked(true);
+        return;
+    }
+    const auto unanswered = std::make_shared<std::size_t>(asked.size());
+    const auto all_confirm = std::make_shared<bool>(true);
+    for (const auto& id : asked) {
+        send_command(id, replication_command::report, 0,
+                     [this, group, instance, on_checked, unanswered,
+                      all_confirm](const std::optional<replication_status>& status) {
+                         const auto primary = m_directory.primary(group);
+                         *all_confirm = *all_confirm && status && primary &&
+                                        primary->instance == instance &&
+                                        confirms_leadership(*status, *primary);
+                         if (--*unanswered == 0) {
+                             on_checked(*all_confirm);
+                         }
+                     });
+    }
+}
+
 pool_status upstream_router::status_of(const upstream_instance& instance) const {
     const std::string host = gateway_of(instance);
     if (host == m_host) {
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -41,6 +41,9 @@
     std::function<void(const std::string& group,
                        std::function<void(const std::optional<failover_claim>&)>)>
         read_claim;
+    /// The instances whose promotion may still take effect, as far as claims that this host has
+    /// read name them.
+    std::function<std::set<std::string>(const std::string& group)> in_doubt;
 };
 
 /// Selects the gateway of each instance, and checks which instance is the primary.
@@ -58,7 +61,9 @@
 ///
 /// Commit confirmation: while a group has a new replica, or no established one has answered lately,
 /// or if the commit was delayed, it is acknowledged only once an established replica is seen to
-/// have received it, and the primary still led then.
+/// have received it, and the primary still led then. While the promotion of another instance may
+/// still take effect, each such instance has to have received it as well, and to confirm each
+/// check.
 ///
 /// Usage: call connect() once, then send work to `gateway_of(instance)` with run().
 class upstream_router {
@@ -204,6 +209,9 @@
         log_position position;
         time_point deadline;
         std::function<void(bool)> on_confirmed;
+        /// An established replica has received it.
+        bool established_has_it = false;
+        std::set<std::string> received_by{};
     };
 
     struct commit_round {
@@ -226,6 +234,16 @@
     std::set<std::string> members_of(const std::string& group) const;
     bool commits_need_confirmation(const std::string& group, const std::string& instance,
                                    duration took);
+    std::set<std::string> others_in_doubt(const std::string& group,
+                                          const std::string& primary) const;
+    bool is_received(const std::string& group, const std::string& primary,
+                     const commit_request& request) const;
+    void record_received(const std::string& group, const known_primary& primary,
+                         const std::string& replica, const replication_status& status);
+    void acknowledge_in_contact(const std::string& group, const std::string& instance,
+                                commit_request request);
+    void ask_those_in_doubt(const std::string& group, const std::string& instance,
+                            const std::function<void(bool)>& on_checked);
     void start_commit_round(const std::string& group, const std::string& instance);
     void finish_commit_round(const std::string& group);
     std::string find_gateway(const upstream_instance& instance, bool unreachable_here) const;
--- a/test/platform/platform_documents_test.cpp
+++ b/test/platform/platform_documents_test.cpp
@@ -84,7 +84,8 @@
 }
 
 TEST_CASE("an encoded claim decodes to the same claim") {
-    const failover_claim claim{5, "host-\"1\"", "i-7", false, 4, 3, false};
+    const failover_claim claim{
+        5, "host-\"1\"", "i-7", false, 4, 3, false, {{"i-\"2\"", 9}, {"i-3", 7}}};
     REQUIRE(read_claim(write_claim(claim)) == claim);
     const auto earlier = read_claim(R"({"term":5,"holder":"h","successor":"","finished":true})");
     REQUIRE(earlier.promoted_term == 5);
