--- a/test/model/failover_instances.hpp
+++ b/test/model/failover_instances.hpp
@@ -31,8 +31,16 @@
     bool platform_counts_terms = true;
     /// Commands and their answers may be late, by up to this.
     std::chrono::milliseconds max_command_delay{1000};
+    /// The part of the promotion calls with which the platform begins to answer none for up to
+    /// `max_silence`; it executes them late, by up to `max_promotion_delay`.
+    double unanswered_promotions = 0;
+    std::chrono::milliseconds max_silence{4000};
+    std::chrono::milliseconds max_promotion_delay{6000};
 };
 
+/// What a coordinator learns of its promotion call.
+enum class call_result { done, refused, unanswered };
+
 /// A command, or its answer, is discarded after this time.
 constexpr std::chrono::milliseconds command_life{1000};
 /// A commit that hangs is given up after this time.
@@ -235,14 +243,23 @@
         std::erase_if(m_commits, [&](const auto& one) { return one.domain == domain; });
     }
 
-    /// Whether the platform accepts the successor; it leads some time later.
-    bool promote(const std::string& id, std::uint64_t term, std::uint64_t token) {
+    /// The successor leads some time later, unless the platform refuses the call.
+    call_result promote(const std::string& id, std::uint64_t term, std::uint64_t token) {
         if (token < m_newest_token || find(id) == nullptr) {
-            return false;
+            return call_result::refused;
         }
         m_newest_token = token;
-        m_promotions.push_back({id, term, m_now + step * (6 + m_random.pick(13))});
-        return true;
+        if (m_now >= m_silent_until && m_wire.unanswered_promotions > 0 &&
+            m_random.chance(m_wire.unanswered_promotions)) {
+            m_silent_until =
+                m_now + step * (1 + m_random.pick(static_cast<int>(m_wire.max_silence / step)));
+        }
+        const bool unanswered = m_now < m_silent_until;
+        const duration late =
+            unanswered ? step * m_random.pick(static_cast<int>(m_wire.max_promotion_delay / step))
+                       : duration(0);
+        m_promotions.push_back({id, term, m_now + late + step * (6 + m_random.pick(13))});
+        return unanswered ? call_result::unanswered : call_result::done;
     }
 
     /// Returns a promotion's successor when it starts to lead.
@@ -439,6 +456,7 @@
     std::vector<command_answer> m_answers;
     std::vector<sent_commit> m_commits;
     std::vector<promotion> m_promotions;
+    time_point m_silent_until{};
     std::uint64_t m_newest_token = 0;
     std::uint64_t m_leading_term = 1;
     /// What the newest primary had when it started to lead.
--- a/test/platform/platform_documents_test.cpp
+++ b/test/platform/platform_documents_test.cpp
@@ -84,9 +84,10 @@
 }
 
 TEST_CASE("an encoded claim decodes to the same claim") {
-    const failover_claim claim{5, "host-\"1\"", "i-7", false, 4, 3, false};
+    const failover_claim claim{
+        5, "host-\"1\"", "i-7", false, 4, 3, false, {{"i-\"2\"", 9}, {"i-3", 7}}};
     REQUIRE(read_claim(write_claim(claim)) == claim);
-    const failover_claim chosen{5, "h", "i-7", false, 5, 3, true, {4, 27}, "i-7 at \"4.27\""};
+    const failover_claim chosen{5, "h", "i-7", false, 5, 3, true, {}, {4, 27}, "i-7 at \"4.27\""};
     REQUIRE(read_claim(write_claim(chosen)) == chosen);
     const auto earlier = read_claim(R"({"term":5,"holder":"h","successor":"","finished":true})");
     REQUIRE(earlier.promoted_term == 5);
--- a/test/session/missing_writes_test.cpp
+++ b/test/session/missing_writes_test.cpp
@@ -38,7 +38,7 @@
     failover_fixture test;
     test.host.pools["p"].reachable = true;
     test.host.reports["p"] = make_status(replication_role::primary, 1);
-    test.stored = {true, {0, 5}, {2, "other", "r", true, 2, 0, true, {1, 27}, "r 1.27 term 1"}};
+    test.stored = {true, {0, 5}, {2, "other", "r", true, 2, 0, true, {}, {1, 27}, "r 1.27 term 1"}};
     acknowledge(test, "id-27", {1, 27});
     primary_tracker& tracker = test.host.directory.primary_tracker_for("g");
 
