--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -138,35 +138,43 @@
         if (term <= state.warned_term) {
             continue;
         }
-        std::vector<acknowledged_write> missing = state.writes.missing_from(beginning, now);
+        const std::vector<acknowledged_write> missing = state.writes.missing_from(beginning, now);
         if (!missing.empty()) {
             state.warned_term = term;
             ++m_lossy_changes;
-            spawn(log_missing_writes(group, beginning, std::move(missing)));
+            log_missing_writes(group, beginning, missing);
+            spawn(log_lossy_promotion(group));
         }
     }
 }
 
-task<void> failover_service::log_missing_writes(std::string group, term_beginning beginning,
-                                                std::vector<acknowledged_write> missing) {
-    stored_claim present;
-    const duration age = event_loop::now() - missing.back().acknowledged_at;
-    if (m_platform.reachable()) {
-        present = co_await m_platform.read(group);
-    }
+// The id and the positions come first: what collects logs may cut long lines.
+void failover_service::log_missing_writes(const std::string& group, const term_beginning& beginning,
+                                          const std::vector<acknowledged_write>& missing) {
     const acknowledged_write& newest = missing.back();
+    const duration age = event_loop::now() - newest.acknowledged_at;
     log(log_event::acknowledged_write_missing,
         {{"id", newest.id},
          {"group", group},
-         {"instance", newest.instance},
          {"position", to_text(newest.position)},
-         {"ago_ms", std::to_string(to_milliseconds(age))},
+         {"first_position", to_text(beginning.first_position)},
          {"primary", beginning.primary.instance},
          {"term", std::to_string(beginning.primary.term)},
-         {"first_position", to_text(beginning.first_position)},
-         {"count", std::to_string(missing.size())},
-         {"promoter", present.succeeded ? present.claim.holder : ""},
-         {"choice", present.succeeded ? present.claim.choice : ""}});
+         {"instance", newest.instance},
+         {"ago_ms", std::to_string(to_milliseconds(age))},
+         {"count", std::to_string(missing.size())}});
+}
+
+task<void> failover_service::log_lossy_promotion(std::string group) {
+    stored_claim present;
+    if (m_platform.reachable()) {
+        present = co_await m_platform.read(group);
+    }
+    if (present.succeeded) {
+        log(log_event::lossy_promotion, {{"choice", present.claim.choice},
+                                         {"group", group},
+                                         {"promoter", present.claim.holder}});
+    }
 }
 
 log_position failover_service::newest_acknowledged(const std::string& group) const {
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -228,8 +228,10 @@
     task<void> read_claim(std::string group,
                           std::function<void(const std::optional<failover_claim>&)> on_claim);
     void warn_of_missing_writes(const std::string& group, time_point now);
-    task<void> log_missing_writes(std::string group, term_beginning beginning,
-                                  std::vector<acknowledged_write> missing);
+    static void log_missing_writes(const std::string& group, const term_beginning& beginning,
+                                   const std::vector<acknowledged_write>& missing);
+    /// Logs what the promoter chose from, as the group's claim tells.
+    task<void> log_lossy_promotion(std::string group);
     void note_doubts(const std::string& group, const stored_claim& present);
     std::map<std::string, std::uint64_t> promotions_in_doubt(const std::string& group) const;
     void tick();
--- a/test/session/missing_writes_test.cpp
+++ b/test/session/missing_writes_test.cpp
@@ -31,6 +31,7 @@
 }
 
 const std::string warning = R"("name":"acknowledged_write_missing")";
+const std::string promoter_line = R"("name":"lossy_promotion")";
 
 } // namespace
 
@@ -48,12 +49,16 @@
         tracker.record_beginning({{"r", 2}, {1, 27}});
         const std::string lines = lines_of(test);
         REQUIRE(count_of(lines, warning) == 1);
-        REQUIRE_THAT(lines, Catch::Contains(
-                                R"("id":"id-28","group":"g","instance":"p","position":"1.28",)"));
         REQUIRE_THAT(
             lines,
             Catch::Contains(
-                R"("primary":"r","term":"2","first_position":"1.27","count":"1","promoter":"other","choice":"r 1.27 term 1")"));
+                R"("id":"id-28","group":"g","position":"1.28","first_position":"1.27","primary":"r","term":"2","instance":"p")"));
+        REQUIRE_THAT(lines, Catch::Contains(R"("count":"1"})"));
+        SECTION("and then tells what the promoter chose from") {
+            REQUIRE(count_of(lines, promoter_line) == 1);
+            REQUIRE_THAT(lines, Catch::Contains(
+                                    R"("choice":"r 1.27 term 1","group":"g","promoter":"other")"));
+        }
         REQUIRE(test.service->lossy_changes() == 1);
         REQUIRE(test.reads == 1);
     }
@@ -61,7 +66,9 @@
         acknowledge(test, "id-28", {1, 28});
         test.stored.succeeded = false;
         tracker.record_beginning({{"r", 2}, {1, 27}});
-        REQUIRE_THAT(lines_of(test), Catch::Contains(R"("promoter":"","choice":"")"));
+        const std::string lines = lines_of(test);
+        REQUIRE(count_of(lines, warning) == 1);
+        REQUIRE(count_of(lines, promoter_line) == 0);
     }
     SECTION("warns when the former primary confirms one after the newer term has begun") {
         tracker.record_beginning({{"r", 2}, {1, 27}});
