--- a/test/session/restarted_member_test.cpp
+++ b/test/session/restarted_member_test.cpp
@@ -5,7 +5,6 @@
 using namespace bronzeplank;
 using model::failover_fixture;
 using model::listed_instance;
-using model::make_status;
 
 namespace {
 
