--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -690,14 +690,7 @@
         return;
     }
     if (!contact_with(group).contact.unbroken(event_loop::now())) {
-        require_contact(group,
-                        [this, group, instance, on_checked = std::move(on_checked)](bool holds) {
-                            if (holds) {
-                                ask_those_in_doubt(group, instance, on_checked);
-                            } else {
-                                on_checked(false);
-                            }
-                        });
+        require_undoubted_contact(group, instance, std::move(on_checked));
         return;
     }
     const std::string replica = confirming_replicas.front();
@@ -718,17 +711,23 @@
                 on_checked(false);
                 return;
             }
-            require_contact(
-                group, [this, group, instance, on_checked = std::move(on_checked)](bool holds) {
-                    if (holds) {
-                        ask_those_in_doubt(group, instance, on_checked);
-                    } else {
-                        on_checked(false);
-                    }
-                });
+            require_undoubted_contact(group, instance, std::move(on_checked));
         });
 }
 
+// The instances in doubt are asked last: restoring contact reads the claim that names them.
+void upstream_router::require_undoubted_contact(const std::string& group,
+                                                const std::string& instance,
+                                                std::function<void(bool)> on_checked) {
+    require_contact(group, [this, group, instance, on_checked = std::move(on_checked)](bool holds) {
+        if (holds) {
+            ask_those_in_doubt(group, instance, on_checked);
+        } else {
+            on_checked(false);
+        }
+    });
+}
+
 // An instance that may begin to lead at any time has to answer that it doesn't.
 void upstream_router::ask_those_in_doubt(const std::string& group, const std::string& instance,
                                          const std::function<void(bool)>& on_checked) {
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -242,6 +242,8 @@
                          const std::string& replica, const replication_status& status);
     void acknowledge_in_contact(const std::string& group, const std::string& instance,
                                 commit_request request);
+    void require_undoubted_contact(const std::string& group, const std::string& instance,
+                                   std::function<void(bool)> on_checked);
     void ask_those_in_doubt(const std::string& group, const std::string& instance,
                             const std::function<void(bool)>& on_checked);
     void start_commit_round(const std::string& group, const std::string& instance);
--- a/test/model/failover_fixture.hpp
+++ b/test/model/failover_fixture.hpp
@@ -100,6 +100,12 @@
     }
 };
 
+/// Lists a replica that has received all that "r" has.
+inline void list_replica(failover_fixture& test, const std::string& id) {
+    test.host.directory.upsert_instance(listed_instance(id, false));
+    test.host.reports[id] = make_status(replication_role::replica, 1);
+}
+
 /// Lists the primary "p" as leaving, though hosts reach it. Returns its entry.
 inline upstream_instance list_leaving_primary(failover_fixture& test) {
     test.host.pools["p"].reachable = true;
--- a/test/session/late_promotions_test.cpp
+++ b/test/session/late_promotions_test.cpp
@@ -4,16 +4,6 @@
 
 using namespace bronzeplank;
 using model::failover_fixture;
-using model::make_status;
-
-namespace {
-
-void list_replica(failover_fixture& test, const std::string& id) {
-    test.host.directory.upsert_instance(model::listed_instance(id, false));
-    test.host.reports[id] = make_status(replication_role::replica, 1);
-}
-
-} // namespace
 
 // The platform may execute a call that has got no answer when another instance leads already.
 TEST_CASE("the promotion of \"s\" has got no answer, and \"r\" leads since") {
--- a/test/session/overlapping_promotions_test.cpp
+++ b/test/session/overlapping_promotions_test.cpp
@@ -6,18 +6,12 @@
 
 using namespace bronzeplank;
 using model::failover_fixture;
-using model::make_status;
 
 namespace {
 
 /// Long enough for another host's claim to expire and for one attempt after it.
 constexpr duration attempt_time = claim_timeout + std::chrono::milliseconds(2000);
 
-void list_replica(failover_fixture& test, const std::string& id) {
-    test.host.directory.upsert_instance(model::listed_instance(id, false));
-    test.host.reports[id] = make_status(replication_role::replica, 1);
-}
-
 } // namespace
 
 TEST_CASE("another host has requested the promotion of \"s\" and has got no answer") {
