--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -35,6 +35,7 @@
     promotion_requested = 1311,
     acknowledged_write_missing = 1312,
     lossy_promotion = 1313,
+    promotion_unanswered = 1314,
     key_withdrawn = 1401,
     peer_joined = 1501,
     peer_lost = 1502,
--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -327,6 +327,19 @@
     co_return *holding == needed;
 }
 
+// The token comes first: what collects logs may cut long lines.
+void failover_service::log_unanswered(const failover_attempt& attempt, const std::string& successor,
+                                      int call, duration took) {
+    log(log_event::promotion_unanswered,
+        {{"token", std::to_string(attempt.token)},
+         {"group", attempt.group},
+         {"instance", successor},
+         {"call", std::to_string(call)},
+         {"took_ms", std::to_string(to_milliseconds(took))},
+         {"lease_left_ms",
+          std::to_string(to_milliseconds(attempt.lease_end - event_loop::now()))}});
+}
+
 task<bool> failover_service::promote(failover_attempt& attempt, std::string successor) {
     const time_point deadline = event_loop::now() + promotion_timeout;
     primary_tracker& tracker = m_directory.primary_tracker_for(attempt.group);
@@ -334,7 +347,7 @@
     // another host may have replaced the successor by the time that this one gives up.
     const std::uint64_t expected_term = tracker.newest_term() + 1;
     bool accepted = false;
-    while (!accepted) {
+    for (int call = 1; !accepted; ++call) {
         if (!lease_valid(attempt)) {
             co_return false;
         }
@@ -352,6 +365,7 @@
         }
         accepted = result == promotion_result::done;
         if (!accepted) {
+            log_unanswered(attempt, successor, call, event_loop::now() - requested_at);
             // It may take effect later, also if the next try is answered.
             attempt.in_doubt[successor] = attempt.token;
             repeat_pause(attempt, successor);
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -282,6 +282,8 @@
     task<bool> store_successor(failover_attempt& attempt, std::string successor,
                                std::uint64_t term);
     task<bool> pauses_hold(failover_attempt& attempt);
+    static void log_unanswered(const failover_attempt& attempt, const std::string& successor,
+                               int call, duration took);
     task<bool> promote(failover_attempt& attempt, std::string successor);
     void send_resume(const failover_attempt& attempt, const std::string& replica);
     task<void> resume_replicas(failover_attempt& attempt);
