--- a/src/edge/http_exchange.cpp
+++ b/src/edge/http_exchange.cpp
@@ -27,29 +27,6 @@
     return value == nullptr ? "" : value;
 }
 
-/// Handles the opening of a connection in place of libevent, which sends the request then.
-struct opening_check {
-    time_point send_by;
-    bufferevent_event_cb on_event = nullptr;
-    void* argument = nullptr;
-
-    void install(bufferevent* stream) {
-        bufferevent_data_cb on_read = nullptr;
-        bufferevent_data_cb on_write = nullptr;
-        bufferevent_getcb(stream, &on_read, &on_write, &on_event, &argument);
-        bufferevent_setcb(stream, on_read, on_write, &opening_check::check, this);
-    }
-
-    static void check(bufferevent* stream, short events, void* checked) {
-        const auto* self = static_cast<opening_check*>(checked);
-        const bool late = (events & BEV_EVENT_CONNECTED) != 0 && event_loop::now() >= self->send_by;
-        const auto on_event = self->on_event;
-        void* const argument = self->argument;
-        bufferevent_setcb(stream, nullptr, nullptr, on_event, argument);
-        on_event(stream, late ? static_cast<short>(BEV_EVENT_TIMEOUT) : events, argument);
-    }
-};
-
 struct pending_reply {
     oneshot<http_reply> done;
     std::string reply_header;
@@ -99,10 +76,6 @@
     evbuffer_add(evhttp_request_get_output_buffer(raw_request), request.body.data(),
                  request.body.size());
     evhttp_make_request(connection, raw_request, command_of(request.method), request.path.c_str());
-    opening_check opening{request.send_by};
-    if (request.send_by != time_point::max()) {
-        opening.install(evhttp_connection_get_bufferevent(connection));
-    }
     if (request.dead_peer_timeout > duration::zero()) {
         // libevent creates the socket in evhttp_make_request().
         set_socket_options(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
--- a/src/edge/http_exchange.hpp
+++ b/src/edge/http_exchange.hpp
@@ -34,8 +34,6 @@
     /// Closes the connection when the peer acknowledges nothing for this long; 0 keeps the defaults
     /// of the system.
     duration dead_peer_timeout{};
-    /// A request whose connection opens later isn't sent; it counts as unanswered.
-    time_point send_by = time_point::max();
 };
 
 /// Sends the request and waits for the reply. Errors of the peer or the network never throw; the
--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -364,10 +364,12 @@
             co_return false;
         }
         accepted = result == promotion_result::done;
-        if (!accepted) {
+        if (result == promotion_result::unanswered) {
             log_unanswered(attempt, successor, call, event_loop::now() - requested_at);
             // It may take effect later, also if the next try is answered.
             attempt.in_doubt[successor] = attempt.token;
+        }
+        if (!accepted) {
             repeat_pause(attempt, successor);
             co_await sleep_for(m_loop, poll_interval);
         }
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -25,7 +25,8 @@
 } // namespace
 
 std::string_view to_string(promotion_result result) {
-    static constexpr std::array<std::string_view, 3> names{"done", "refused", "unanswered"};
+    static constexpr std::array<std::string_view, 4> names{"done", "refused", "unanswered",
+                                                           "unsent"};
     return names.at(static_cast<std::size_t>(result));
 }
 
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -34,8 +34,9 @@
     bool covers_promotions() const { return is_current() && claim.complete; }
 };
 
-/// The platform's response to a promotion request.
-enum class promotion_result { done, refused, unanswered };
+/// The platform's response to a promotion request. An unanswered one may have taken effect, or
+/// still do so; of an unsent one no byte has left this host, and none will.
+enum class promotion_result { done, refused, unanswered, unsent };
 
 std::string_view to_string(promotion_result result);
 
--- a/test/session/held_promotions_test.cpp
+++ b/test/session/held_promotions_test.cpp
@@ -1,3 +1,4 @@
+#include "model/failover_fixture.hpp"
 #include "model/plain_listener.hpp"
 #include "platform/promotion_command.hpp"
 
@@ -9,6 +10,7 @@
 using namespace bronzeplank;
 using namespace bronzeplank::platform;
 using model::connection_end;
+using model::failover_fixture;
 using std::chrono::milliseconds;
 
 namespace {
@@ -64,3 +66,25 @@
         REQUIRE(cloud.end() == connection_end::reset);
     }
 }
+
+// Commits waited ten seconds for a promotion that the platform could not have received.
+TEST_CASE("a promotion request that never left its host") {
+    failover_fixture test;
+    test.promotion_result_to_give = promotion_result::unsent;
+    test.on_promotion = [&](const std::string&) {
+        if (test.promoted.size() == 2) {
+            test.promotion_result_to_give = promotion_result::done;
+        }
+    };
+    test.service->start();
+    run_for(test, claim_timeout + milliseconds(1000));
+
+    SECTION("is sent again under the same claim") {
+        REQUIRE(test.promoted == std::vector<std::string>{"r", "r"});
+        REQUIRE(test.finished());
+    }
+    SECTION("leaves no instance in doubt") {
+        REQUIRE(test.finished());
+        REQUIRE(test.written.back().in_doubt.empty());
+    }
+}
