A host that can't reach the platform's promotions hands the group to another one

Callers of a group whose primary had failed waited for the whole lease of a host whose connection to the promotion address didn't open, and for the 3 s that others leave its claim alone. Cause: every call without a result counted as one that may take effect, so that the claim could not be released. Since a call of which no byte has left is told apart, nothing of it can take effect: the replicas are resumed, the claim is released, and this host lets others go first for claim_timeout. A call that was sent keeps the claim as before, also if a later one isn't.

--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -360,7 +360,9 @@
              {"token", std::to_string(attempt.token)},
              {"result", std::string(to_string(result))},
              {"took_ms", std::to_string(to_milliseconds(event_loop::now() - requested_at))}});
-        if (result == promotion_result::refused) {
+        attempt.requested |= result != promotion_result::unsent;
+        // If no request has left this host, another one may reach the platform.
+        if (result == promotion_result::refused || !attempt.requested) {
             co_return false;
         }
         accepted = result == promotion_result::done;
@@ -554,7 +556,7 @@
         group_state& state = m_groups[group];
         if (reason == failover_reason::stalled && !std::exchange(state.replicas_resumed, true) &&
             co_await resume_paused_replicas(attempt)) {
-            finish_attempt(group);
+            finish_attempt(group, retry_interval);
             co_return;
         }
         if (reason == failover_reason::leaving && lease_valid(attempt)) {
@@ -590,18 +592,21 @@
                  {"in_lease", lease_valid(attempt) ? "true" : "false"}});
             // A promotion request in flight may still promote the successor. The replicas then
             // stay paused until the next attempt.
-            if (!may_promote && lease_valid(attempt)) {
+            if (!attempt.requested && lease_valid(attempt)) {
                 co_await abandon(attempt);
             }
         }
+        const bool yields = may_promote && !attempt.requested;
+        finish_attempt(group, yields ? duration(claim_timeout) : duration(retry_interval));
+        co_return;
     }
-    finish_attempt(group);
+    finish_attempt(group, retry_interval);
 }
 
-void failover_service::finish_attempt(const std::string& group) {
+void failover_service::finish_attempt(const std::string& group, duration pause) {
     group_state& state = m_groups[group];
     state.failover_running = false;
-    state.next_attempt_at = event_loop::now() + retry_interval;
+    state.next_attempt_at = event_loop::now() + pause;
 }
 
 } // namespace bronzeplank
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -220,6 +220,8 @@
         /// The successor's position when it was chosen, and what it was chosen from.
         log_position first_position;
         std::string choice;
+        /// Whether a promotion request may have reached the platform.
+        bool requested = false;
         /// Replicas that a pause command was sent to, whether they have answered or not.
         std::set<std::string> pause_requested;
         std::vector<paused_replica> paused;
@@ -241,7 +243,8 @@
                                        const std::optional<known_primary>& primary) const;
     int failover_rank(const std::string& group) const;
     task<void> run_failover(std::string group, std::string old_primary, failover_reason reason);
-    void finish_attempt(const std::string& group);
+    /// \param pause before this host tries the group again
+    void finish_attempt(const std::string& group, duration pause);
     bool is_era_settled() const;
     bool may_be_held(const std::string& group, const stored_claim& present, time_point now);
     task<bool> acquire_claim(failover_attempt& attempt);
