--- a/test/process/failing_platform.py
+++ b/test/process/failing_platform.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+import promotion_order
 import world as standins
 
 WRITES = ("POST", "PUT", "DELETE")
@@ -119,6 +120,23 @@
         self.held = set()
         self.uneven = False
         self.effects = []
+        self.order = promotion_order.PromotionOrder()
+
+    async def serve(self, reader, writer):
+        sender = writer.get_extra_info("peername")
+
+        async def handle(method, path, headers, body):
+            self.note(sender, headers, body)
+            return await self.handle(method, path, headers, body)
+
+        await standins.serve_http(reader, writer, handle)
+
+    def note(self, sender, headers, body):
+        now = self.world.record.now()
+        sent, closed = self.world.paths.sender_of(sender, (self.address, self.port))
+        self.order.note(body["Service"], promotion_order.Call(
+            headers.get("x-lease-holder"), int(headers["x-fencing-token"]), body["Id"],
+            now if sent is None else sent, now, closed))
 
     def plan(self, identity):
         if identity in self.held:
--- a/test/process/failover_rig.py
+++ b/test/process/failover_rig.py
@@ -2,11 +2,12 @@
 """Failovers with real processes: front hosts against groups that can lose acknowledged writes.
 
 Instances crash, return, leave, lag and are cut off; promotions are late or unanswered; the store
-fails; hosts are frozen and killed. Whenever a promotion takes effect, each commit that a caller was
-acknowledged must be in the successor's log.
+fails; hosts are frozen and killed; relays hold, delay, reset and silence connections. Whenever a
+promotion takes effect, each commit that a caller was acknowledged must be in the successor's log.
+The calls that request promotions must keep rule ONE.
 
 Usage: failover_rig.py [--seed N] [--runs N] [--seconds N] [--fronts N] [--groups N] [--busy N]
-                       [--sequence NAME ...] [--program FILE]
+                       [--sequence NAME ...] [--proxied PATH ...] [--program FILE]
 
 With several sequences, one seed after another plays the next of them.
 """
@@ -22,84 +23,19 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "review", "standins"))
 sys.dont_write_bytecode = True
-import failing_platform  # noqa: E402
 import failover_troubles  # noqa: E402
-import replicated_group  # noqa: E402
+import failover_world  # noqa: E402
+import held_promotions  # noqa: E402
+import proxied_paths  # noqa: E402
 import seeded_runs  # noqa: E402
 import world as standins  # noqa: E402
 
 KEY = "key-of-tenant0"
 ANSWER_LIMIT_S = 4
-TICK_S = 0.02
 START_LIMIT_S = 60
 RESTART_AFTER_S = 0.3
-LATE_S = 0.2
 RESTART_SPREAD_S = 1.0
-
-
-class World(standins.World):
-    """The deployment, with groups and a platform that can fail."""
-
-    def __init__(self, record, rng, fronts, groups):
-        super().__init__(record, fronts=fronts, services=groups)
-        self.cloud.socket.close()
-        self.store = failing_platform.Store(record, rng)
-        self.cloud = failing_platform.Cloud(self, rng)
-        self.heard_at = {}
-        self.committed_at = {}
-        self.promoted = None
-        self.used_addresses = 100 + fronts
-        self.groups = [replicated_group.Group(self, service) for service in self.services]
-        self.instances = [i for group in self.groups for i in group.members]
-        self.lateness = 0.0
-        self.store_server = None
-
-    def next_address(self):
-        self.used_addresses += 1
-        return self.address(self.used_addresses % 250)
-
-    def instance(self, identity):
-        return next((i for i in self.instances if i.id == identity), None)
-
-    async def start(self):
-        self.store_server = await asyncio.start_server(
-            self.store.serve, self.store_address, self.store_port, limit=1 << 22)
-        await self.cloud.start()
-        self.store.put("config", "main", self.configuration())
-        for instance in self.instances:
-            await instance.start()
-        self.tasks += [asyncio.ensure_future(self.heartbeats()), asyncio.ensure_future(self.tick())]
-        for front in self.fronts:
-            await front.start()
-
-    async def heartbeats(self):
-        while True:
-            await asyncio.sleep(standins.HEARTBEAT_S)
-            for instance in list(self.instances):
-                instance.report()
-
-    async def tick(self):
-        """Replicates what was missed and removes entries; measures how late this loop is."""
-        expected = time.monotonic() + TICK_S
-        while True:
-            await asyncio.sleep(max(0.0, expected - time.monotonic()))
-            now = time.monotonic()
-            self.lateness = max(self.lateness, now - expected)
-            if now - expected > LATE_S:
-                self.record("rig", f"is {now - expected:.3f} s late")
-            expected = now + TICK_S
-            for group in self.groups:
-                group.tick()
-            self.expire(now)
-
-    def expire(self, now):
-        if not self.store.serves() and not self.store.expires:
-            return
-        for identity, heard_at in list(self.heard_at.items()):
-            if now - heard_at > replicated_group.EXPIRY_S:
-                self.record("store", f"the entry of {identity} expires")
-                self.store.delete("servers", identity)
-                del self.heard_at[identity]
+SEQUENCES = failover_troubles.SEQUENCES | held_promotions.SEQUENCES
 
 
 class Rig:
@@ -111,7 +47,8 @@
         self.sequence = options.sequence[seed % len(options.sequence)]
         self.folder = tempfile.mkdtemp(prefix="bronzeplank-rig-")
         self.record = standins.Record(os.path.join(self.folder, "record.txt"))
-        self.world = World(self.record, random.Random(seed + 1), options.fronts, options.groups)
+        self.world = failover_world.World(self.record, random.Random(seed + 1), options.fronts,
+                                          options.groups, options.proxied)
         os.rmdir(self.world.folder)
         self.world.folder = self.folder
         self.world.deploy["roles"]["front"]["run"] = f"{options.program} front"
@@ -238,7 +175,7 @@
                       for number in range(self.options.callers)]
             for task in tasks:
                 task.add_done_callback(self.note_failure)
-            await failover_troubles.SEQUENCES[self.sequence](self)
+            await SEQUENCES[self.sequence](self)
             await self.stop_store()
         except standins.CannotRun as error:
             self.broken.append(f"could not run: {error}")
@@ -252,7 +189,7 @@
             await self.world.stop()
         if not any(self.acknowledged.values()):
             self.broken.append("nothing was acknowledged")
-        self.broken += self.losses
+        self.broken += self.losses + self.world.cloud.order.broken
         self.record("verdict", self.summary())
         return self.broken
 
@@ -266,7 +203,7 @@
         promotions = sum(len(group.promotions) for group in self.world.groups)
         return (f"{self.sequence}, {self.sent} statements, {acknowledged} commits acknowledged, "
                 f"{promotions} promotions, {self.starts} restarts of hosts, "
-                f"{len(self.lost)} commits lost, the rig at most "
+                f"{len(self.lost)} commits lost, {self.world.paths.summary()}, the rig at most "
                 f"{self.world.lateness * 1000:.0f} ms late")
 
 
@@ -278,7 +215,9 @@
     parser.add_argument("--callers", type=int, default=30)
     parser.add_argument("--busy", type=int, default=0)
     parser.add_argument("--sequence", nargs="+", default=["by-the-seed"],
-                        choices=failover_troubles.SEQUENCES)
+                        choices=SEQUENCES)
+    parser.add_argument("--proxied", nargs="*", default=proxied_paths.ALL,
+                        choices=proxied_paths.ALL)
     options = parser.parse_args()
     options.program = os.path.abspath(options.program)
     # Each group is a host's connection or two, and each end is a descriptor here.
--- a/test/process/replicated_group.py
+++ b/test/process/replicated_group.py
@@ -31,6 +31,14 @@
         # Cut from the other instances, and from the store.
         self.apart = self.offline = False
         self.crashed_at = None
+        self.born = int(time.time() * 1000)
+
+    def entry(self):
+        return super().entry() | {"born": self.born}
+
+    async def start(self):
+        self.world.paths.cover(self)
+        await super().start()
 
     def report(self, silent=False):
         """Writes the entry; it is an event unless only Seq has changed."""
@@ -219,6 +227,16 @@
             self.leader = new
         await self.add(new)
 
+    async def start_again(self, instance, seconds, deaf_s):
+        """It starts under its id at its address and knows nothing; it receives nothing at first."""
+        instance.crash()
+        await asyncio.sleep(seconds)
+        self.forget(instance)
+        new = Instance(self, instance.number, None, (instance.address, instance.port))
+        new.id, new.role = instance.id, "replica"
+        new.deaf_until = time.monotonic() + deaf_s
+        await self.add(new)
+
     async def leave(self, instance, extra_s=0.3):
         """A replacement joins first; the leaver counts until it is gone, its entry with it."""
         if not instance.server or instance in self.leaving:
