--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -81,6 +81,26 @@
             attempt.choice};
 }
 
+// Two holders never promote within one lease, so that no command of the first comes late.
+bool failover_service::is_recently_promoted(const group_state& state, const failover_claim& claim,
+                                            time_point now) const {
+    const known_primary last{state.last_primary, state.last_term};
+    const bool names_promotion = claim.finished && !claim.successor.empty();
+    const bool own = claim.holder == m_router.host();
+    const bool promoted_here =
+        state.promoted_here == last ||
+        (names_promotion && own && known_primary{claim.successor, claim.term} == last);
+    if (!promoted_here && now - state.primary_since < claim_timeout) {
+        return true;
+    }
+    // The first term that this host learns of may be a new one, too: the claim shows it.
+    if (!names_promotion || own || claim.holder.empty() || claim.promoted_term < last.term) {
+        return false;
+    }
+    const bool learned = known_primary{claim.successor, claim.promoted_term} == last;
+    return now - (learned ? state.term_since : state.claim_seen_at) < claim_timeout;
+}
+
 task<bool> failover_service::acquire_claim(failover_attempt& attempt) {
     // An instance that registers later is not established before this claim's lease has expired.
     if (!co_await m_platform.refresh_instances()) {
@@ -104,15 +124,6 @@
         log_waiting(attempt.group, state);
         co_return false;
     }
-    const time_point now = event_loop::now();
-    // Two holders never promote within one lease, so that no command of the first comes late.
-    const known_primary last{state.last_primary, state.last_term};
-    const bool promoted_here = state.promoted_here == last ||
-                               (present.claim.finished && present.claim.holder == m_router.host() &&
-                                known_primary{present.claim.successor, present.claim.term} == last);
-    if (!promoted_here && now - state.primary_since < claim_timeout) {
-        co_return false;
-    }
     // Another host may have completed a failover while this host was partitioned from it.
     const auto known = m_directory.primary(attempt.group);
     const bool newer = present.claim.finished && !present.claim.successor.empty() &&
@@ -123,6 +134,10 @@
             .record_primary(present.claim.successor, present.claim.term);
         co_return false;
     }
+    const time_point now = event_loop::now();
+    if (is_recently_promoted(state, present.claim, now)) {
+        co_return false;
+    }
     attempt.term =
         std::max(m_directory.primary_tracker_for(attempt.group).newest_term(), present.claim.term) +
         1;
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -250,7 +250,10 @@
                                           {"before", state.last_primary}});
         state.last_primary = primary->instance;
     }
-    state.last_term = primary->term;
+    if (primary->term != state.last_term) {
+        state.last_term = primary->term;
+        state.term_since = now;
+    }
     if (const upstream_instance* listed_primary = m_directory.instance(primary->instance)) {
         state.last_primary_born_ms = listed_primary->born_ms;
     }
@@ -273,6 +276,7 @@
         state.last_primary = reported.instance;
         state.last_term = reported.term;
         state.primary_since = event_loop::now();
+        state.term_since = state.primary_since;
     }
 }
 
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -159,6 +159,8 @@
         known_primary claimed_primary;
         /// When this host learned that it leads.
         time_point primary_since{};
+        /// When this host learned of `last_term`.
+        time_point term_since{};
         /// The last primary that this host promoted itself.
         known_primary promoted_here;
         bool waiting_logged = false;
@@ -247,6 +249,9 @@
     void finish_attempt(const std::string& group, duration pause);
     bool is_era_settled() const;
     bool may_be_held(const std::string& group, const stored_claim& present, time_point now);
+    /// Whether another host has promoted within the time of a claim, as far as this one can tell.
+    bool is_recently_promoted(const group_state& state, const failover_claim& claim,
+                              time_point now) const;
     task<bool> acquire_claim(failover_attempt& attempt);
     void renew_claim_if_due(const std::string& group, time_point now);
     task<void> renew_claim(std::string group, known_primary primary);
