--- a/test/process/failover_rig.py
+++ b/test/process/failover_rig.py
@@ -47,6 +47,8 @@
         self.cloud = failing_platform.Cloud(self, rng)
         self.heard_at = {}
         self.committed_at = {}
+        # The ids of the statements that an instance has received.
+        self.passed_on = set()
         self.promoted = None
         self.used_addresses = 100 + fronts
         self.groups = [replicated_group.Group(self, service) for service in self.services]
--- a/test/process/replicated_group.py
+++ b/test/process/replicated_group.py
@@ -76,6 +76,7 @@
         await self.reached.wait()
 
     async def run(self, session, identity, text):
+        self.world.passed_on.add(identity)
         verb, _, rest = text.partition(" ")
         if time.monotonic() < self.busy_until and verb not in ("RESUME", "DEMOTE"):
             return [], f"ERROR BUSY {self.id}"
