--- a/test/process/planned_stops.py
+++ b/test/process/planned_stops.py
@@ -207,7 +207,7 @@
             if late and process.returncode is None:
                 front_signals.send(self.target, signal.SIGSTOP)
                 await asyncio.sleep(self.random.uniform(0.3, 0.5))
-                process.send_signal(signal.SIGCONT)
+                front_signals.send(self.target, signal.SIGCONT)
             await stop
             await asyncio.sleep(1)
 
@@ -329,7 +329,8 @@
         ends = ", ".join(f"{end} {count}" for end, count in sorted(
             self.ends.items(), key=lambda item: str(item[0])))
         refusals = ", ".join(f"{code} {count}" for code, count in sorted(self.refusals.items()))
-        return (f"{self.sequence}, {len(self.world.fronts)} hosts, {self.sent} requests ({ends}; errors {refusals}), "
+        return (f"{self.sequence}, {len(self.world.fronts)} hosts, {self.sent} requests "
+                f"({ends}; errors {refusals}), "
                 f"{self.stops} stops (the longest {self.longest_stop:.2f} s, {self.killed} killed "
                 f"after the grace), {self.reloads} reloads, {self.versions} configurations, "
                 f"{promotions} promotions, {len(self.unanswered)} requests lost, "
