Giving an instance connection up resets it, as does the end of the process

What callers could see: a pause or a resume that a partition held up reached the instance seconds after its sender had given it up. A resume has no term, so that it undoes the pause of a later claim.

Cause: instance_connection closed its socket with a FIN, and only in the next iteration of the loop. Bytes that a partition holds up are delivered after a FIN and dropped after a reset. The end of a process, by SIGKILL too, closed with a FIN.

Evidence: the new tests of a plain server. Before the change a connection that was given up had no end at all until the loop ran again, and an orderly one then; the connection of a killed process had an orderly end.

An orderly end resets as well: what may be on its way then is a ROLLBACK or settings of the connection, and a closed connection rolls back.

--- a/src/edge/socket_options.cpp
+++ b/src/edge/socket_options.cpp
@@ -30,4 +30,9 @@
     set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms);
 }
 
+void reset_on_close(int descriptor) {
+    const linger abortive{1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &abortive, sizeof abortive);
+}
+
 } // namespace bronzeplank
--- a/src/edge/socket_options.hpp
+++ b/src/edge/socket_options.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Socket options that detect a dead peer which sent no reset.
+/// Socket options that detect a dead peer which sent no reset, and that reset a connection.
 #pragma once
 
 #include "bronzeplank/time.hpp"
@@ -11,4 +11,8 @@
 /// \param dead_peer_timeout rounded down to whole seconds, but at least one, for the probes
 void set_socket_options(int descriptor, duration dead_peer_timeout);
 
+/// Makes every close of the connection a reset, also at the end of the process, so that what the
+/// network still holds back is dropped.
+void reset_on_close(int descriptor);
+
 } // namespace bronzeplank
--- a/test/model/plain_listener.hpp
+++ b/test/model/plain_listener.hpp
@@ -5,6 +5,7 @@
 #include "bronzeplank/settings.hpp"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <stdexcept>
 #include <string>
 #include <sys/socket.h>
@@ -12,6 +13,9 @@
 
 namespace bronzeplank::model {
 
+/// How the peer has ended a connection.
+enum class peer_end { none, orderly, reset };
+
 /// Takes one connection and what arrives on it, without waiting for either.
 ///
 /// Usage: `plain_listener server; ... REQUIRE(server.received().empty());`
@@ -51,9 +55,20 @@
         while (m_connection >= 0 && (count = recv(m_connection, buffer, sizeof buffer, 0)) > 0) {
             m_received.append(buffer, static_cast<std::size_t>(count));
         }
+        if (m_connection >= 0 && m_end == peer_end::none && count == 0) {
+            m_end = peer_end::orderly;
+        } else if (m_connection >= 0 && m_end == peer_end::none && errno == ECONNRESET) {
+            m_end = peer_end::reset;
+        }
         return m_received;
     }
 
+    /// The first sign of an end: an orderly one that a reset follows is orderly.
+    peer_end end() {
+        received();
+        return m_end;
+    }
+
     void send_text(const std::string& text) {
         accept_connection();
         send(m_connection, text.data(), text.size(), MSG_NOSIGNAL);
@@ -69,6 +84,7 @@
     int m_listening;
     int m_connection = -1;
     std::string m_received;
+    peer_end m_end = peer_end::none;
 };
 
 } // namespace bronzeplank::model
