A replication command without an answer is given up within the time that its sender reckons with

What callers could see: a paused replica that receives again, or one that stays paused, by a command that its sender had long given up.

Cause: a command that was sent stayed on the control connection for as long as that was open. Only a status request of a watched instance closed it; a host that isn't the instance's gateway sends none.

Evidence: with a plain server that doesn't answer, the connection was still open 500 ms after the command. The same with upstream_pool and a scripted connection, for PAUSE, RESUME and DEMOTE.

Change: the pool closes the control connection, which resets it, when a command that changes something has had no answer for 450 ms. A probe that waits behind it is repeated and keeps its time; a status request alone closes nothing.

--- a/src/session/gateway.hpp
+++ b/src/session/gateway.hpp
@@ -106,6 +106,7 @@
 private:
     // Coarse enough to cost little, fine enough for timeouts of a few hundred milliseconds.
     static constexpr std::chrono::milliseconds tick_interval{25};
+    static_assert(command_answer_limit + tick_interval < command_send_limit);
     // A pool that has not been used for this long is closed unless its instance is watched.
     static constexpr std::chrono::seconds unused_pool_timeout{2};
 
--- a/src/session/upstream_connection.hpp
+++ b/src/session/upstream_connection.hpp
@@ -15,6 +15,10 @@
 /// connection: it may contradict a later one by then.
 constexpr std::chrono::milliseconds command_send_limit{500};
 
+/// Such a command is given up with its connection when it has had no answer for this long. Shorter
+/// than `command_send_limit`, within which it ends, since it is checked periodically.
+constexpr std::chrono::milliseconds command_answer_limit{450};
+
 /// A connection to an instance on behalf of one workspace. Requests are answered in the order in
 /// which they were sent; when the connection closes, each unanswered request gets `unanswered`, and
 /// then the handler that was passed to the constructor for this is called.
--- a/src/session/upstream_pool.hpp
+++ b/src/session/upstream_pool.hpp
@@ -14,6 +14,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace bronzeplank {
 
@@ -94,18 +95,23 @@
     void send_command(replication_command command, std::uint64_t term, status_handler on_status) {
         const time_point sent_at = event_loop::now();
         m_last_used_at = sent_at;
-        control_connection().send_command(command, term,
-                                          [this, on_status, command, term, sent_at](
-                                              const std::optional<replication_status>& status) {
-                                              if (status) {
-                                                  record_response();
-                                              }
-                                              if (command != replication_command::report) {
-                                                  log_command(command, term, status,
-                                                              event_loop::now() - sent_at);
-                                              }
-                                              on_status(status);
-                                          });
+        const bool changes = command != replication_command::report;
+        if (changes) {
+            m_unanswered_commands.insert(sent_at);
+        }
+        control_connection().send_command(
+            command, term,
+            [this, on_status, command, term, sent_at,
+             changes](const std::optional<replication_status>& status) {
+                if (status) {
+                    record_response();
+                }
+                if (changes) {
+                    m_unanswered_commands.erase(m_unanswered_commands.find(sent_at));
+                    log_command(command, term, status, event_loop::now() - sent_at);
+                }
+                on_status(status);
+            });
     }
 
     /// Starts no new writes for `write_hold_limit`, and requests the instance's status for
@@ -140,6 +146,7 @@
     void tick(time_point now, bool watch) {
         expire_overdue(now);
         probe_if_due(now, watch);
+        give_up_commands(now);
         report_if_drained();
         detect_stalled_writes(now);
         detect_hanging_statements(now);
@@ -664,6 +671,21 @@
                      });
     }
 
+    // A command without an answer could otherwise be delivered after those of a later claim.
+    void give_up_commands(time_point now) {
+        if (m_unanswered_commands.empty() || !m_control_connection ||
+            now - *m_unanswered_commands.begin() < command_answer_limit) {
+            return;
+        }
+        // A probe that waits behind the command is repeated on the next connection.
+        const auto probe_sent_at = std::exchange(m_probe_sent_at, std::nullopt);
+        m_control_connection->close();
+        if (probe_sent_at) {
+            send_probe();
+            m_probe_sent_at = probe_sent_at;
+        }
+    }
+
     Connection& control_connection() {
         if (m_control_connection && !m_control_closed) {
             return *m_control_connection;
@@ -692,6 +714,8 @@
     std::map<transaction_key, std::shared_ptr<connection_type>> m_transactions;
     std::unique_ptr<Connection> m_control_connection;
     bool m_control_closed = false;
+    /// When the commands were sent that change something and wait for an answer.
+    std::multiset<time_point> m_unanswered_commands;
     bool m_reachable = true;
     bool m_dispatching = false;
     int m_running_count = 0;
--- a/test/session/given_up_commands_test.cpp
+++ b/test/session/given_up_commands_test.cpp
@@ -1,7 +1,7 @@
 #include "model/failover_fixture.hpp"
 #include "model/plain_listener.hpp"
 #include "platform/instance_connection.hpp"
-#include "session/upstream_connection.hpp"
+#include "session/gateway.hpp"
 
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -139,3 +139,45 @@
     REQUIRE(wait_until([&] { return instance.end() != peer_end::none; }));
     REQUIRE(instance.end() == peer_end::reset);
 }
+
+// The connection stayed open, and delivered the command after those of a later claim.
+TEST_CASE("a gateway that gets no answer to a replication command") {
+    event_loop loop;
+    plain_listener listener;
+    const upstream_instance listed = listening_instance();
+    gateway<instance_connection>::environment environment;
+    environment.find = [&](const std::string&) { return &listed; };
+    environment.limits = [](const upstream_instance&) { return pool_limits(); };
+    environment.watched = [](const std::string&) { return false; };
+    environment.is_primary = [](const std::string&) { return false; };
+    environment.reachability_changed = [] {};
+    gateway<instance_connection> gateway(loop, environment);
+    const auto command = GENERATE(replication_command::pause, replication_command::resume,
+                                  replication_command::demote);
+    int answers = 0;
+    bool answered = false;
+    gateway.send_command("r", command, 3, [&](const std::optional<replication_status>& status) {
+        ++answers;
+        answered = status.has_value();
+    });
+    run_for(loop, milliseconds(20));
+    listener.send_text(ready_line);
+    run_for(loop, milliseconds(20));
+    REQUIRE(listener.received().starts_with("START g bronzeplank r\r\nQUERY - "));
+    REQUIRE(answers == 0);
+
+    SECTION("resets the connection within the limit") {
+        run_for(loop, command_send_limit);
+        REQUIRE(listener.end() == peer_end::reset);
+        REQUIRE(answers == 1);
+        REQUIRE_FALSE(answered);
+    }
+    SECTION("keeps the connection if the answer comes in time") {
+        run_for(loop, command_send_limit / 2);
+        listener.send_text("ROW replica 1 1.1 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.1\r\n");
+        run_for(loop, command_send_limit);
+        REQUIRE(listener.end() == peer_end::none);
+        REQUIRE(answers == 1);
+        REQUIRE(answered);
+    }
+}
--- a/test/session/upstream_pool_test.cpp
+++ b/test/session/upstream_pool_test.cpp
@@ -382,3 +382,64 @@
         REQUIRE(hold_reported);
     }
 }
+
+// It stayed on the open connection, and was delivered after the commands of a later claim.
+TEST_CASE("a replication command without an answer") {
+    pool_fixture test;
+    const auto command = GENERATE(replication_command::pause, replication_command::resume,
+                                  replication_command::demote);
+    int failed = 0;
+    const auto count_failures = [&](const std::optional<replication_status>& status) {
+        failed += status ? 0 : 1;
+    };
+    test.pool->send_command(command, 3, count_failures);
+    const time_point sent_at = event_loop::now();
+    const time_point given_up_at = sent_at + command_send_limit;
+
+    SECTION("is given up with its connection") {
+        test.pool->tick(sent_at + command_send_limit / 2, false);
+        REQUIRE_FALSE(test.instance.at(0).is_closed);
+        test.pool->tick(given_up_at, false);
+        REQUIRE(test.instance.at(0).is_closed);
+        REQUIRE(failed == 1);
+        test.pool->send_command(command, 3, count_failures);
+        REQUIRE(test.instance.connections.size() == 2);
+        REQUIRE_FALSE(test.instance.at(1).is_closed);
+    }
+    SECTION("takes those with it that were sent later") {
+        test.pool->send_command(command, 4, count_failures);
+        test.pool->tick(given_up_at, false);
+        REQUIRE(failed == 2);
+        test.pool->tick(given_up_at + milliseconds(25), false);
+        REQUIRE(test.instance.connections.size() == 1);
+    }
+    SECTION("is not confused with an earlier one that was answered") {
+        test.instance.at(0).requests.front().on_status(replication_status{});
+        test.instance.at(0).requests.clear();
+        test.pool->tick(given_up_at, false);
+        REQUIRE_FALSE(test.instance.at(0).is_closed);
+        REQUIRE(failed == 0);
+    }
+    SECTION("leaves a probe that waits behind it the rest of its time") {
+        pool_limits limits;
+        limits.probe_timeout = milliseconds(900);
+        test.pool->update(instance_with_two_slots(), limits);
+        test.pool->tick(sent_at, true);
+        REQUIRE(test.instance.at(0).requests.size() == 2);
+        test.pool->tick(given_up_at, true);
+        REQUIRE(test.instance.at(0).is_closed);
+        REQUIRE(test.instance.at(1).requests.size() == 1);
+        REQUIRE(test.pool->reachable());
+        test.pool->tick(event_loop::now() + limits.probe_timeout, true);
+        REQUIRE_FALSE(test.pool->reachable());
+        REQUIRE(failed == 1);
+    }
+}
+
+TEST_CASE("a status request without an answer leaves the connection open for its answer") {
+    pool_fixture test;
+    test.pool->send_command(replication_command::report, 0,
+                            [](const std::optional<replication_status>&) {});
+    test.pool->tick(event_loop::now() + command_send_limit * 2, false);
+    REQUIRE_FALSE(test.instance.at(0).is_closed);
+}
