A replication command leaves before the loop can stand still

What callers could see: a resume that undoes the pause of a later claim, sent by a host that stood still after it had checked its lease.

Cause: what is written to a connection is sent in the next iteration of the loop. A host that is frozen in between sends the command when it wakes.

Evidence: late_loop_test with a plain server: a command that had been given to an open connection, or that had waited for it to open, wasn't sent while the loop stood still.

--- a/test/session/late_loop_test.cpp
+++ b/test/session/late_loop_test.cpp
@@ -103,6 +103,42 @@
     }
 }
 
+// It stayed in the buffer of the connection, and undid the pause of a claim that came meanwhile.
+TEST_CASE("a replication command to a ready instance leaves before the loop can stand still") {
+    event_loop loop;
+    model::plain_listener instance;
+    upstream_instance listed = model::listed_instance("r", false);
+    listed.address = model::plain_listener::address();
+    const auto arrives = [&] {
+        const time_point deadline = event_loop::now() + milliseconds(200);
+        while (!instance.received().ends_with("RESUME\r\n") && event_loop::now() < deadline) {
+            stand_still(milliseconds(1));
+        }
+        return instance.received() == "START g bronzeplank r\r\nQUERY - RESUME\r\n";
+    };
+    bool arrived = false;
+    instance_connection connection(
+        loop, listed, "bronzeplank", [&](upstream_result) { arrived = arrives(); }, [] {});
+    const auto send_resume = [&] {
+        connection.send_command(replication_command::resume, 0,
+                                [](const std::optional<replication_status>&) {});
+    };
+    run_for(loop, milliseconds(20));
+
+    SECTION("if it is given to an open connection") {
+        instance.send_text("READY I 1.1\r\n");
+        run_for(loop, milliseconds(300));
+        send_resume();
+        REQUIRE(arrives());
+    }
+    SECTION("if it has waited for the connection to open") {
+        send_resume();
+        instance.send_text("READY I 1.1\r\n");
+        run_for(loop, milliseconds(300));
+        REQUIRE(arrived);
+    }
+}
+
 // A host that stood still after a check of its lease acted on the claim when others held the next.
 TEST_CASE("a failover whose loop stands still until its lease has ended") {
     failover_fixture test;
