A replication command relayed by a host whose first messages were held up is not executed late

What callers could see: a resume, 8 s late, undoes the pause of a later claim.

Cause: a host measures a message's delay against the smallest delay that it has seen of the peer. When a partition holds up all messages since the peer's start, or since the host's own, the first to arrive sets the measure, and a command behind it seems to be in time.

Change: a message to one host says which of that host's messages its sender heard last, and for how long it had had it. The round trip bounds the delay from above.

The command that isn't late is executed in the same tests.

--- a/include/bronzeplank/delay_estimator.hpp
+++ b/include/bronzeplank/delay_estimator.hpp
@@ -23,9 +23,19 @@
     /// \param received on this host's clock, not before the previous message was received
     duration excess_delay(time_point sent, time_point received);
 
+    /// Records that the message, and an earlier one to the peer, took this long together.
+    void record_round_trip(time_point sent, time_point received, duration round_trip);
+
+    /// The longest that the message can have taken. Unlike the excess delay, it doesn't take the
+    /// first messages for prompt ones. Nothing before the first round trip.
+    std::optional<duration> max_delay(time_point sent, time_point received) const;
+
 private:
     std::optional<duration> m_min_offset;
     time_point m_last_received{};
+    /// The highest known lower bound of the offset of a message without delay, and its time.
+    std::optional<duration> m_offset_bound;
+    time_point m_bound_at{};
 };
 
 } // namespace bronzeplank
--- a/include/bronzeplank/incarnation_filter.hpp
+++ b/include/bronzeplank/incarnation_filter.hpp
@@ -22,6 +22,9 @@
     std::optional<duration> excess_delay(std::uint32_t incarnation, time_point sent,
                                          time_point received);
 
+    /// The delays of the messages of the current incarnation.
+    delay_estimator& delays() { return m_delay; }
+
 private:
     // Covers the incarnations whose messages a partition or a slow connection may still deliver.
     static constexpr std::size_t max_ended_incarnations = 8;
--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -116,6 +116,12 @@
         return false;
     }
     set_sender(message);
+    if (const auto heard = m_heard.find(host); heard != m_heard.end()) {
+        message.set_heard_ms(heard->second.sent_ms);
+        message.set_heard_incarnation(heard->second.incarnation);
+        message.set_heard_age_ms(static_cast<std::uint32_t>(
+            to_milliseconds(event_loop::now() - heard->second.received)));
+    }
     return m_bus.send(found->second.address, message);
 }
 
@@ -186,7 +192,13 @@
         return delay < max_heartbeat_delay;
     case wire::envelope::kWork:
         return delay < duration(message.work().time_left_us());
-    case wire::envelope::kReplication:
+    case wire::envelope::kReplication: {
+        // The excess delay says nothing if all messages of the peer were held up.
+        const time_point sent{std::chrono::milliseconds(message.sent_ms())};
+        const auto max_delay =
+            m_incarnation_filters[message.from()].delays().max_delay(sent, event_loop::now());
+        return max_delay && std::max(*max_delay, delay) < control_call_timeout;
+    }
     case wire::envelope::kSample:
         return delay < control_call_timeout;
     default:
@@ -194,10 +206,29 @@
     }
 }
 
+// The message was sent after one of this host's, which the peer had had for some time.
+void fleet::record_round_trip(const wire::envelope& message, time_point sent, time_point received) {
+    if (message.heard_incarnation() != m_incarnation) {
+        return;
+    }
+    const time_point heard{std::chrono::milliseconds(message.heard_ms())};
+    const duration age = std::chrono::milliseconds(message.heard_age_ms());
+    m_incarnation_filters[message.from()].delays().record_round_trip(
+        sent, received, std::max(duration(0), received - heard - age));
+}
+
 void fleet::receive(const wire::envelope& message) {
     const time_point sent{std::chrono::milliseconds(message.sent_ms())};
-    const auto delay = m_incarnation_filters[message.from()].excess_delay(message.incarnation(),
-                                                                          sent, event_loop::now());
+    const time_point now = event_loop::now();
+    const auto delay =
+        m_incarnation_filters[message.from()].excess_delay(message.incarnation(), sent, now);
+    if (delay) {
+        record_round_trip(message, sent, now);
+        heard_message& heard = m_heard[message.from()];
+        if (heard.incarnation != message.incarnation() || heard.sent_ms <= message.sent_ms()) {
+            heard = {message.incarnation(), message.sent_ms(), now};
+        }
+    }
     if (!delay || !is_timely(message, *delay)) {
         ++m_dropped_count;
         log(log_event::peer_message_dropped,
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -203,6 +203,7 @@
     void receive(const wire::envelope& message);
     void handle(const wire::envelope& message, duration delay);
     bool is_timely(const wire::envelope& message, duration delay);
+    void record_round_trip(const wire::envelope& message, time_point sent, time_point received);
     void handle_heartbeat(const std::string& from, std::uint32_t incarnation,
                           const wire::fleet_heartbeat& heartbeat);
     void handle_full_heartbeat(fleet_peer& peer, const wire::fleet_heartbeat& heartbeat);
@@ -241,6 +242,13 @@
     std::map<std::uint64_t, call> m_calls;
     std::uint64_t m_next_call;
     std::map<std::string, incarnation_filter> m_incarnation_filters;
+    /// The newest message of each peer.
+    struct heard_message {
+        std::uint32_t incarnation = 0;
+        std::uint64_t sent_ms = 0;
+        time_point received{};
+    };
+    std::map<std::string, heard_message> m_heard;
     std::uint64_t m_dropped_count = 0;
     /// Since when a peer has reported a newer directory.
     std::optional<time_point> m_behind_since;
--- a/test/delay_estimator_test.cpp
+++ b/test/delay_estimator_test.cpp
@@ -37,6 +37,38 @@
     }
 }
 
+TEST_CASE("the longest that a peer's message can have taken") {
+    const time_point local_time{hours(5)};
+    const time_point peer_time{hours(90)};
+    delay_estimator estimator;
+
+    SECTION("is unknown before a round trip") {
+        estimator.excess_delay(peer_time, local_time);
+        REQUIRE_FALSE(estimator.max_delay(peer_time, local_time));
+    }
+    SECTION("is the round trip for the message that ends it") {
+        estimator.record_round_trip(peer_time, local_time, milliseconds(30));
+        REQUIRE(estimator.max_delay(peer_time, local_time) == milliseconds(30));
+    }
+    SECTION("covers a first message that was held up") {
+        const duration round_trip = seconds(8) + milliseconds(50);
+        estimator.record_round_trip(peer_time, local_time, round_trip);
+        REQUIRE(estimator.max_delay(peer_time, local_time) == round_trip);
+        SECTION("and prompt messages show it more exactly") {
+            estimator.record_round_trip(peer_time + seconds(8), local_time, milliseconds(30));
+            REQUIRE(estimator.max_delay(peer_time, local_time) == seconds(8) + milliseconds(30));
+            REQUIRE(estimator.max_delay(peer_time + seconds(8), local_time) == milliseconds(30));
+        }
+    }
+    SECTION("keeps the shortest round trip and grows with the drift of the clocks") {
+        estimator.record_round_trip(peer_time, local_time, milliseconds(30));
+        estimator.record_round_trip(peer_time + seconds(1), local_time + seconds(3), seconds(3));
+        const auto later = estimator.max_delay(peer_time + seconds(10), local_time + seconds(10));
+        REQUIRE(later >= milliseconds(30));
+        REQUIRE(later <= milliseconds(32));
+    }
+}
+
 TEST_CASE("the clock drift of a peer") {
     rc::prop("is not taken for delay, over a day", [] {
         const int drift = *rc::gen::inRange(-190, 191);
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -270,6 +270,10 @@
     peer_bus bus;
     std::uint32_t incarnation = 71;
     time_point clock{std::chrono::hours(3)};
+    /// The host whose message the peer has just heard when it sends one, unless 0; and for how long
+    /// its messages are held up.
+    std::uint32_t heard_incarnation = 0;
+    duration held{};
 
     explicit scripted_peer(event_loop& loop)
         : bus(loop, {"127.0.0.1", scripted_port},
@@ -279,6 +283,9 @@
         message.set_from("scripted");
         message.set_incarnation(incarnation);
         message.set_sent_ms(static_cast<std::uint64_t>(to_milliseconds(clock.time_since_epoch())));
+        message.set_heard_incarnation(heard_incarnation);
+        message.set_heard_ms(static_cast<std::uint64_t>(
+            to_milliseconds((event_loop::now() - held).time_since_epoch())));
         return bus.send("127.0.0.1:7593", message);
     }
     bool send_heartbeat(std::uint32_t period_ms = 200, bool leaving = false, bool full = true) {
@@ -351,7 +358,9 @@
     const time_point started = event_loop::now();
     const auto set_send_delay = [&](duration delay) {
         peer.clock = time_point(std::chrono::hours(3)) + (event_loop::now() - started) - delay;
+        peer.held = delay;
     };
+    peer.heard_incarnation = host.peers->incarnation();
     REQUIRE(run_until(loop, [&] {
         set_send_delay(duration(0));
         peer.send_heartbeat();
@@ -384,6 +393,18 @@
         peer.send_command(replication_command::resume);
         REQUIRE(marker_arrives());
         REQUIRE(host.commands.empty());
+        set_send_delay(duration(0));
+        peer.send_command(replication_command::pause);
+        REQUIRE(marker_arrives());
+        REQUIRE(host.commands == std::vector{replication_command::pause});
+    }
+    SECTION("executes no replication command of a peer that has heard only an earlier host") {
+        peer.heard_incarnation = host.peers->incarnation() + 1;
+        peer.incarnation = 72;
+        set_send_delay(duration(0));
+        peer.send_command(replication_command::resume);
+        REQUIRE(marker_arrives());
+        REQUIRE(host.commands.empty());
     }
     SECTION("ignores a heartbeat that a partition delayed") {
         set_send_delay(std::chrono::seconds(9));
