--- a/test/model/plain_listener.hpp
+++ b/test/model/plain_listener.hpp
@@ -55,10 +55,10 @@
         while (m_connection >= 0 && (count = recv(m_connection, buffer, sizeof buffer, 0)) > 0) {
             m_received.append(buffer, static_cast<std::size_t>(count));
         }
-        if (m_connection >= 0 && m_end == connection_end::none) {
-            const bool is_reset = count < 0 && errno == ECONNRESET;
-            m_end = count == 0 ? connection_end::closed
-                               : (is_reset ? connection_end::reset : connection_end::none);
+        if (m_connection >= 0 && m_end == connection_end::none && count == 0) {
+            m_end = connection_end::closed;
+        } else if (m_connection >= 0 && m_end == connection_end::none && errno == ECONNRESET) {
+            m_end = connection_end::reset;
         }
         return m_received;
     }
--- a/test/platform/directory_follower_test.cpp
+++ b/test/platform/directory_follower_test.cpp
@@ -320,6 +320,6 @@
     SECTION("the next list contains it, so that it isn't written again") {
         test.store.failure = store_stub::failure_mode::none;
         REQUIRE(test.until([&] { return test.directory.hosts().contains("host"); }));
-        REQUIRE(test.directory.hosts().at("host").peer_endpoint == endpoint{"127.0.0.1", 7001});
+        REQUIRE(test.directory.hosts().at("host").connection_endpoint == endpoint{"127.0.0.1", 7001});
     }
 }
