--- a/test/process/failover_rig.py
+++ b/test/process/failover_rig.py
@@ -26,6 +26,7 @@
 import failover_troubles  # noqa: E402
 import failover_world  # noqa: E402
 import held_promotions  # noqa: E402
+import path_troubles  # noqa: E402
 import proxied_paths  # noqa: E402
 import seeded_runs  # noqa: E402
 import world as standins  # noqa: E402
@@ -35,7 +36,8 @@
 START_LIMIT_S = 60
 RESTART_AFTER_S = 0.3
 RESTART_SPREAD_S = 1.0
-SEQUENCES = failover_troubles.SEQUENCES | held_promotions.SEQUENCES
+SEQUENCES = (failover_troubles.SEQUENCES | held_promotions.SEQUENCES
+             | path_troubles.SEQUENCES)
 
 
 class Rig:
--- a/test/process/loopback_proxy.py
+++ b/test/process/loopback_proxy.py
@@ -28,7 +28,7 @@
         self.connection, self.held, self.delay_s = connection, held, delay_s
         self.replaced = replaced
         self.source = self.sink = self.back = None
-        # Pairs of the time when it may leave and the bytes; no bytes stand for the FIN.
+        # The times when they came and when they may leave, and bytes; none stand for the FIN.
         self.kept = collections.deque()
         self.kept_size = 0
         self.ended = False
@@ -52,9 +52,9 @@
         elif self.began_at is None:
             self.began_at = now
         if data and self.held:
-            self.connection.note_held(self)
+            self.connection.note_held(self, now)
         data = data.replace(*self.replaced)
-        self.kept.append((now + self.delay_s, data))
+        self.kept.append((now, now + self.delay_s, data))
         self.kept_size += len(data)
         if not data or self.kept_size > MOST_KEPT:
             self.loop.remove_reader(self.source)
@@ -85,8 +85,8 @@
 
     def send(self):
         try:
-            while self.kept and self.kept[0][0] <= self.connection.now():
-                due, data = self.kept[0]
+            while self.kept and self.kept[0][1] <= self.connection.now():
+                came, due, data = self.kept[0]
                 if not data:
                     self.end()
                     return
@@ -95,7 +95,7 @@
                 self.kept_size -= sent
                 self.kept.popleft()
                 if sent < len(data):
-                    self.kept.appendleft((due, data[sent:]))
+                    self.kept.appendleft((came, due, data[sent:]))
         except BlockingIOError:
             self.loop.add_writer(self.sink, self.flush)
             return
@@ -103,7 +103,7 @@
             self.connection.abort()
             return
         if self.kept:
-            self.loop.call_later(self.kept[0][0] - self.connection.now(), self.flush)
+            self.loop.call_later(self.kept[0][1] - self.connection.now(), self.flush)
         if self.closed_at is None and self.kept_size <= MOST_KEPT:
             self.loop.add_reader(self.source, self.read)
 
@@ -164,20 +164,22 @@
         self.silent = True
         self.hold(BOTH_WAYS)
 
-    def note_held(self, way):
+    def note_held(self, way, now):
         if not way.kept_size:
-            self.relay.count("held", way, "holds what was sent")
+            self.relay.count("held", "holds back", now)
 
     def note_delivered(self, way):
         if way.closed_at is None:
-            self.relay.count("delivered", way, "delivers, its sender has not closed,")
+            self.relay.count("delivered", "delivers", way.kept[0][0])
         else:
-            self.relay.count("delivered after the close", way,
-                             f"delivers, its sender has closed at {way.closed_at:.3f},")
+            self.relay.count("delivered after the close",
+                             f"delivers, its sender closed at {way.closed_at:.3f},",
+                             way.kept[0][0])
 
     def note_dropped(self, way):
         if way.kept_size:
-            self.relay.count("dropped after the reset", way, "drops, its sender has reset,")
+            self.relay.count("dropped after the reset", "drops, its sender has reset,",
+                             way.kept[0][0])
 
     def abort(self):
         for end in (self.sender, self.target):
@@ -247,24 +249,22 @@
                 connection.ways[way].delay_s = seconds
 
     def reset(self):
-        self.record(self.name, f"resets {len(self.connections)} connections")
         for connection in list(self.connections):
             connection.abort()
 
     def silence(self):
         """Open connections go silent for good; new ones work."""
-        self.record(self.name, f"silences {len(self.connections)} connections")
         for connection in self.connections:
             connection.silence()
 
     def kept(self):
         """What is held back on the way to the target."""
         return b"".join(data for connection in self.connections if connection.ways[0].held
-                        for _, data in connection.ways[0].kept)
+                        for _, _, data in connection.ways[0].kept)
 
-    def count(self, what, way, text):
+    def count(self, what, text, sent_at):
         self.counts[what] += 1
-        self.record(self.name, f"{text} since {way.began_at:.3f}, {way.kept_size} bytes")
+        self.record(self.name, f"{text} what was sent at {sent_at:.3f}")
 
     def close(self):
         asyncio.get_running_loop().remove_reader(self.listener)
--- a/test/process/loopback_proxy_test.py
+++ b/test/process/loopback_proxy_test.py
@@ -183,6 +183,17 @@
         self.assertGreater(time.monotonic() - began, 0.29)
         self.assertEqual(await self.answer(connection), b"two")
 
+    async def test_drops_what_is_delayed_after_an_answer_and_a_reset(self):
+        self.relay.delay(0.3, [TO_TARGET])
+        connection = await self.open()
+        await self.send(connection, b"one")
+        await asyncio.sleep(0.1)
+        await self.send(connection, b"two")
+        self.assertEqual(await self.answer(connection), b"one")
+        await self.reset(connection)
+        self.assertEqual((self.received, self.ended), ([b"one"], ["reset"]))
+        self.assertEqual(self.paths.counts, {"dropped after the reset": 1})
+
     async def test_resets_open_connections(self):
         connection = await self.open()
         await self.send(connection, b"one")
