Stalled promotions: two holders within a lease (ONE, by hand)

What callers would see: nothing lost; the platform is sent promotions by two holders 1.0 to 1.1 s apart, which rule ONE forbids. Evidence, on the code before any fix: stalled-promotions keeps the replicas of a group from receiving for 8 s, with no relay and no disturbed host. Suspected, not shown by a fix: a host that knew no term of the primary (primary_in_force with term 0) doesn't take its new term for a promotion, so that the wait of claim_timeout isn't begun anew.

--- a/test/process/failover_troubles.py
+++ b/test/process/failover_troubles.py
@@ -47,6 +47,15 @@
     await asyncio.sleep(4)
 
 
+async def stalled_promotions(rig):
+    """The primary has no replica that receives, and is promoted again without a change."""
+    group = rig.world.groups[0]
+    await asyncio.sleep(2)
+    for replica in group.replicas():
+        rig.deafen(replica, 8)
+    await asyncio.sleep(12)
+
+
 async def late_promotion(rig):
     """A call isn't answered and takes effect after another instance has been promoted."""
     group, cloud = rig.world.groups[0], rig.world.cloud
@@ -211,4 +220,4 @@
 
 SEQUENCES = {"by-the-seed": by_the_seed, "leavers-by-the-seed": leavers_by_the_seed,
              "leaver-then-all-killed": leaver_then_all_killed,
-             "late-promotion": late_promotion}
+             "stalled-promotions": stalled_promotions, "late-promotion": late_promotion}
