--- a/test/process/failover_troubles.py
+++ b/test/process/failover_troubles.py
@@ -209,6 +209,31 @@
     await by_the_seed(rig, LEAVERS)
 
 
-SEQUENCES = {"by-the-seed": by_the_seed, "leavers-by-the-seed": leavers_by_the_seed,
+async def all_at_once(rig):
+    """The primaries of all groups fail together while replicas lag; hosts are frozen and killed."""
+    while rig.record.now() - rig.began < rig.seconds:
+        running = []
+        for group in rig.world.groups:
+            lagging = group.pick(rig.random, replica=True)
+            if lagging and rig.random.random() < 0.6:
+                rig.deafen(lagging, rig.random.uniform(1, 5))
+        await asyncio.sleep(rig.random.uniform(0.3, 1.5))
+        for group in rig.world.groups:
+            seconds = rig.random.uniform(1, 6)
+            fails = rig.random.choice([group.crash_and_return, vanish])
+            if group.leader.server and group.leader.reached.is_set():
+                running.append(fails(group.leader, seconds))
+        running = [asyncio.ensure_future(task) for task in running]
+        for trouble in (freeze, kill_some):
+            await asyncio.sleep(rig.random.uniform(0, 1))
+            if rig.random.random() < 0.6:
+                running.append(asyncio.ensure_future(trouble(rig, rig.world.groups[0])))
+        for task in running:
+            task.add_done_callback(rig.note_failure)
+        await asyncio.gather(*running, return_exceptions=True)
+        await asyncio.sleep(5)
+
+
+SEQUENCES = {"by-the-seed": by_the_seed, "all-at-once": all_at_once, "leavers-by-the-seed": leavers_by_the_seed,
              "leaver-then-all-killed": leaver_then_all_killed,
              "late-promotion": late_promotion}
