Fix: an abandoned claim forgot who led the newest promoted term

Callers could lose acknowledged writes: a host that had started after a claim was abandoned promoted a replica that was behind.

Cause: a claim without a successor kept the newest promoted term without its instance. A host that knew only the primary before took that one for the only instance that may be left out of account, though it may have followed the newer one.

Change: a claim without a successor names the instance of its promoted term (promoted_instance), from the claim before it.

--- a/include/bronzeplank/failover.hpp
+++ b/include/bronzeplank/failover.hpp
@@ -136,6 +136,14 @@
     log_position first_position{};
     /// What the successor was chosen from, for logs.
     std::string choice{};
+    /// In a claim without a successor, the instance of `promoted_term`; empty if it isn't known.
+    std::string promoted_instance{};
+
+    /// The instance of the newest term whose promotion may have been requested; empty if it isn't
+    /// known.
+    const std::string& newest_promoted() const {
+        return successor.empty() ? promoted_instance : successor;
+    }
     bool operator==(const failover_claim&) const = default;
 };
 
--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -81,6 +81,16 @@
             attempt.choice};
 }
 
+// The claim before a successor is chosen, and after none could be.
+failover_claim failover_service::claim_without_successor(const failover_attempt& attempt,
+                                                         std::uint64_t era) const {
+    failover_claim claim{
+        attempt.term,     m_router.host(), "", false, attempt.promoted_before.term, era,
+        attempt.complete, attempt.in_doubt};
+    claim.promoted_instance = attempt.promoted_before.instance;
+    return claim;
+}
+
 task<bool> failover_service::acquire_claim(failover_attempt& attempt) {
     // An instance that registers later is not established before this claim's lease has expired.
     if (!co_await m_platform.refresh_instances()) {
@@ -98,7 +108,7 @@
     }
     group_state& state = m_groups[attempt.group];
     if (present.covers_promotions()) {
-        state.claimed_primary = {present.claim.successor, present.claim.promoted_term};
+        state.claimed_primary = {present.claim.newest_promoted(), present.claim.promoted_term};
     }
     if (!can_account_for_members(attempt.group, attempt.reason)) {
         log_waiting(attempt.group, state);
@@ -128,13 +138,11 @@
         1;
     attempt.lease_end = now + claim_lease;
     attempt.listed_at = now;
-    attempt.promoted_before = present.claim.promoted_term;
+    attempt.promoted_before = {present.claim.newest_promoted(), present.claim.promoted_term};
     attempt.in_doubt = promotions_in_doubt(attempt.group);
     attempt.promoted_term = present.claim.promoted_term;
     attempt.complete = present.covers_promotions();
-    const failover_claim wanted{
-        attempt.term,     m_router.host(), "", false, attempt.promoted_term, present.position.era,
-        attempt.complete, attempt.in_doubt};
+    const failover_claim wanted = claim_without_successor(attempt, present.position.era);
     const stored_claim written = co_await m_platform.write(attempt.group, present.position, wanted);
     attempt.claim_position = written.position;
     attempt.token = written.fencing_token();
@@ -508,14 +516,8 @@
     const stored_claim present = co_await m_platform.read(attempt.group);
     if (present.succeeded && present.is_current() && !present.claim.finished &&
         present.claim.term == attempt.term && present.claim.holder == m_router.host()) {
-        const failover_claim released{attempt.term,
-                                      m_router.host(),
-                                      "",
-                                      true,
-                                      attempt.promoted_before,
-                                      present.position.era,
-                                      attempt.complete,
-                                      attempt.in_doubt};
+        failover_claim released = claim_without_successor(attempt, present.position.era);
+        released.finished = true;
         co_await m_platform.write(attempt.group, present.position, released);
     }
 }
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -203,8 +203,9 @@
         std::uint64_t term = 0;
         /// The term that the successor leads, as the platform counts terms.
         std::uint64_t leading_term = 0;
-        /// The newest term that may have been promoted before this attempt, and as stored now.
-        std::uint64_t promoted_before = 0;
+        /// The newest term that may have been promoted before this attempt, with its instance.
+        known_primary promoted_before;
+        /// The newest term that may have been promoted, as stored now.
         std::uint64_t promoted_term = 0;
         /// Instances whose promotion may still take effect, as the claim names them.
         std::map<std::string, std::uint64_t> in_doubt;
@@ -272,6 +273,8 @@
     void record_choice(failover_attempt& attempt, const std::string& successor) const;
     failover_claim claim_for(const failover_attempt& attempt, const std::string& successor,
                              std::uint64_t term) const;
+    failover_claim claim_without_successor(const failover_attempt& attempt,
+                                           std::uint64_t era) const;
     static std::string joined(const std::set<std::string>& instances);
     task<bool> resume_paused_replicas(failover_attempt& attempt);
     task<std::string> pause_and_choose_successor(failover_attempt& attempt);
--- a/test/platform/platform_documents_test.cpp
+++ b/test/platform/platform_documents_test.cpp
@@ -89,10 +89,16 @@
     REQUIRE(read_claim(write_claim(claim)) == claim);
     const failover_claim chosen{5, "h", "i-7", false, 5, 3, true, {}, {4, 27}, "i-7 at \"4.27\""};
     REQUIRE(read_claim(write_claim(chosen)) == chosen);
+    failover_claim abandoned{5, "h", "", true, 4};
+    abandoned.promoted_instance = "i-\"7\"";
+    REQUIRE(read_claim(write_claim(abandoned)) == abandoned);
     const auto earlier = read_claim(R"({"term":5,"holder":"h","successor":"","finished":true})");
     REQUIRE(earlier.promoted_term == 5);
     REQUIRE(earlier.first_position == log_position{});
     REQUIRE(earlier.choice.empty());
+    REQUIRE(earlier.newest_promoted().empty());
+    REQUIRE(read_claim(R"({"term":5,"holder":"h","successor":"i-7","finished":true})")
+                .newest_promoted() == "i-7");
     failover_claim extreme = chosen;
     extreme.first_position = {any_term, any_term};
     REQUIRE(read_claim(write_claim(extreme)).successor == "i-7");
--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -373,7 +373,9 @@
         test.host.reports["s"].paused_by = 3;
         test.service->start();
         REQUIRE(test.host.run_until([&] { return test.written.size() >= 2; }));
-        REQUIRE(test.written[1] == failover_claim{4, "host", "", true, 1});
+        failover_claim released{4, "host", "", true, 1};
+        released.promoted_instance = "p";
+        REQUIRE(test.written[1] == released);
         REQUIRE(test.host.reports["r"].paused_by == 0);
         REQUIRE(test.host.reports["s"].paused_by == 0);
         REQUIRE_FALSE(test.host.was_commanded("p", replication_command::demote));
