Fix: each start of a host prolonged the wait for a crashed member

Groups stayed without failover for longer than ten minutes after a member had gone for good, while hosts started.

Cause: a host that reads the stored members began the ten minutes of an unlisted one anew.

Change: members are stored with the full minutes for which they have been unlisted, as durations, since hosts' clocks may differ. Those of an earlier era don't count, as the member may have been back. One that is back counts for commits only once it is stored as listed again. Hosts of earlier versions ignore the field, and members without it count from the read.

The test kept only the names between two hosts, which no stored form could pass; it now keeps what the service stores of them as well, and its assertion is the same.

--- a/include/bronzeplank/group_roster.hpp
+++ b/include/bronzeplank/group_roster.hpp
@@ -30,6 +30,8 @@
     std::map<std::string, endpoint> addresses = {};
     /// When their processes started, in Unix milliseconds, as far as it is known.
     std::map<std::string, std::int64_t> born_ms = {};
+    /// For how many full minutes they had not been listed, if it was at least one.
+    std::map<std::string, std::int64_t> unlisted_minutes = {};
     bool operator==(const group_members&) const = default;
 };
 
@@ -97,6 +99,9 @@
     /// When the members' processes started, in Unix milliseconds, as far as it is known.
     std::map<std::string, std::int64_t> born_ms() const;
 
+    /// For how many full minutes members have not been listed, if it is at least one.
+    std::map<std::string, std::int64_t> unlisted_minutes() const;
+
     /// The member that stands for a process of the instance that started at that time, once another
     /// one has started under the same id.
     static std::string former_process_id(const std::string& id, std::int64_t born_ms);
@@ -141,6 +146,7 @@
     static bool has_ended(const known_member& known);
     static bool replaces(const known_member& later, const known_member& known);
     static bool has_restarted(const known_member& known, std::int64_t born_ms);
+    static duration unlisted_before(const group_members& stored, const std::string& id);
     void add_former_process(const std::string& id, const known_member& former, time_point now);
     static bool is_obsolete(const known_member& known, time_point now);
     static void take_answer(evidence& target, const std::string& instance,
--- a/src/core/group_roster.cpp
+++ b/src/core/group_roster.cpp
@@ -67,6 +67,14 @@
            now - known.last_listed > unlisted_retention;
 }
 
+// Starts of hosts don't prolong the wait for a member that doesn't come back.
+duration group_roster::unlisted_before(const group_members& stored, const std::string& id) {
+    const auto found = stored.unlisted_minutes.find(id);
+    return std::min<duration>(
+        std::chrono::minutes(found == stored.unlisted_minutes.end() ? 0 : found->second),
+        unlisted_retention);
+}
+
 // The host that stored a leaver may have seen it exit; this one counts it as gone once it isn't
 // listed.
 void group_roster::merge(const group_members& stored, time_point now) {
@@ -82,8 +90,8 @@
         if (!m_left_out.contains(id) && !m_members.contains(id)) {
             known_member& added = m_members[id];
             added.leaving = stored.leaving.contains(id);
-            added.last_listed = now;
-            added.last_reachable = now;
+            added.last_listed = now - unlisted_before(stored, id);
+            added.last_reachable = added.last_listed;
             added.born_ms = born_ms;
             if (const auto address = stored.addresses.find(id); address != stored.addresses.end()) {
                 added.address = address->second;
@@ -198,4 +206,16 @@
     return found;
 }
 
+std::map<std::string, std::int64_t> group_roster::unlisted_minutes() const {
+    std::map<std::string, std::int64_t> found;
+    for (const auto& [id, known] : m_members) {
+        const auto minutes =
+            std::chrono::floor<std::chrono::minutes>(m_updated_at - known.last_listed).count();
+        if (!known.listed && minutes > 0) {
+            found.emplace(id, minutes);
+        }
+    }
+    return found;
+}
+
 } // namespace bronzeplank
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -45,7 +45,7 @@
         const auto found = m_groups.find(group);
         return found == m_groups.end() || !found->second.stored_members
                    ? nullptr
-                   : &found->second.stored_members->members;
+                   : &found->second.stored_as_listed;
     };
     sources.platform_reachable = m_platform.reachable;
     sources.in_doubt = [this](const std::string& group) {
@@ -498,7 +498,8 @@
             roster.leaving(),
             m_platform.era().number,
             roster.addresses(),
-            roster.born_ms()};
+            roster.born_ms(),
+            roster.unlisted_minutes()};
 }
 
 // Only the gateway of the primary stores the members: it decides which commits are acknowledged.
@@ -538,7 +539,7 @@
         co_return false;
     }
     group_state& state = m_groups[group];
-    state.roster.merge(present.members, event_loop::now());
+    merge_members(group, present);
     const group_members wanted = current_members(group);
     if (present.position.revision == 0 || present.members != wanted) {
         const stored_members written =
@@ -547,10 +548,26 @@
             co_return false;
         }
     }
-    state.stored_members = wanted;
+    note_stored(state, wanted);
     co_return true;
 }
 
+// The members of an earlier era may lack some, but all that they name may have commits; they may
+// have been listed since.
+void failover_service::merge_members(const std::string& group, stored_members present) {
+    if (!present.is_current()) {
+        present.members.unlisted_minutes.clear();
+    }
+    m_groups[group].roster.merge(present.members, event_loop::now());
+}
+
+void failover_service::note_stored(group_state& state, const group_members& members) {
+    state.stored_members = members;
+    state.stored_as_listed = members.members;
+    std::erase_if(state.stored_as_listed,
+                  [&](const auto& id) { return members.unlisted_minutes.contains(id); });
+}
+
 // A host that has started lately knows neither the members that left before nor a primary whose
 // entry has expired.
 task<bool> failover_service::merge_stored_members(std::string group, failover_claim claim) {
@@ -559,8 +576,7 @@
         co_return false;
     }
     group_state& state = m_groups[group];
-    // The members of an earlier era may lack some, but all that they name may have commits.
-    state.roster.merge(present.members, event_loop::now());
+    merge_members(group, present);
     if (present.is_current() && state.last_primary.empty()) {
         const bool led = claim.finished && !claim.successor.empty();
         state.last_primary = led ? claim.successor : present.members.primary;
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -169,6 +169,8 @@
         time_point next_renewal_at{};
         /// The members as this host last stored or read them as the gateway of the primary.
         std::optional<group_members> stored_members;
+        /// Those of them that a host that starts later doesn't count as unlisted already.
+        std::set<std::string> stored_as_listed;
         bool storing_members = false;
         time_point next_storing_at{};
         acknowledged_writes writes;
@@ -252,6 +254,8 @@
     task<void> store_members(std::string group);
     task<bool> write_current_members(std::string group);
     group_members current_members(const std::string& group);
+    void merge_members(const std::string& group, stored_members present);
+    static void note_stored(group_state& state, const group_members& members);
     void update_roster(const std::string& group, time_point now);
     void settle_roster(const std::string& group, const std::string& primary, time_point now);
     static bool is_former(const group_state& state, const known_primary& primary);
--- a/test/platform/decoder_fuzz_test.cpp
+++ b/test/platform/decoder_fuzz_test.cpp
@@ -90,11 +90,16 @@
     SECTION("a claim") {
         fuzz(platform::write_claim({4, "h", "i-1", true}),
              [](const auto& text) { platform::read_claim(text); });
+        failover_claim abandoned{4, "h", "", true, 3};
+        abandoned.promoted_instance = "i-1";
+        fuzz(platform::write_claim(abandoned),
+             [](const auto& text) { platform::read_claim(text); });
     }
     SECTION("the members of a group") {
-        fuzz(platform::write_members(
-                 {"i-1", {"i-1", "i-2"}, {"i-2"}, 3, {{"i-2", {"10.0.0.2", 80}}}}),
-             [](const auto& text) { platform::read_members(text); });
+        fuzz(
+            platform::write_members(
+                {"i-1", {"i-1", "i-2"}, {"i-2"}, 3, {{"i-2", {"10.0.0.2", 80}}}, {}, {{"i-2", 3}}}),
+            [](const auto& text) { platform::read_members(text); });
     }
     SECTION("an instance's entry, a host's registration and the users' configuration") {
         fuzz(R"({"Service":"g","Address":"10.0.0.9:80","Zone":"a","Version":"v1","Slots":2,
--- a/test/platform/platform_documents_test.cpp
+++ b/test/platform/platform_documents_test.cpp
@@ -107,10 +107,14 @@
 
 TEST_CASE("encoded members of a group decode to the same members") {
     const group_members members{
-        "i-1", {"i-1", "i-\"2\"", "i-3"},   {"i-3"},
-        4,     {{"i-1", {"10.0.0.1", 80}}}, {{"i-1", 1'700'000'000'000}, {"i-3", 1}}};
+        "i-1",       {"i-1", "i-\"2\"", "i-3"},   {"i-3"},
+        4,           {{"i-1", {"10.0.0.1", 80}}}, {{"i-1", 1'700'000'000'000}, {"i-3", 1}},
+        {{"i-3", 7}}};
     REQUIRE(read_members(write_members(members)) == members);
     REQUIRE(read_members(write_members({})) == group_members{});
+    const auto earlier =
+        read_members(R"({"primary":"i-1","members":[{"id":"i-1"}],"leaving":[],"era":0})");
+    REQUIRE(earlier == group_members{"i-1", {"i-1"}, {}, 0});
     REQUIRE_THROWS_AS(read_members(R"({"primary":"i-1","members":"i-1"})"), input_error);
     REQUIRE_THROWS_AS(read_members(R"({"primary":"i-1","members":[1],"leaving":[],"era":0})"),
                       input_error);
--- a/test/session/merged_members_test.cpp
+++ b/test/session/merged_members_test.cpp
@@ -19,6 +19,7 @@
         now += std::chrono::minutes(5);
         roster.update({{"p", {}}, {"r", {}}}, now);
         members.members = roster.members();
+        members.unlisted_minutes = roster.unlisted_minutes();
     }
     REQUIRE(members.members == std::set<std::string>{"p", "r"});
 }
--- a/test/session/stored_members_test.cpp
+++ b/test/session/stored_members_test.cpp
@@ -100,6 +100,44 @@
     }
 }
 
+// Every start of a host prolonged the time for which an instance that had crashed was waited for.
+TEST_CASE("a host that starts while a member has been unlisted for long") {
+    failover_fixture test;
+    test.members = stored({"p", {"p", "r", "s"}, {}, 0, {}, {}, {{"s", 10}}});
+    SECTION("waits for it no longer than the earlier hosts") {
+        test.service->start();
+        REQUIRE(promotes(test));
+    }
+    SECTION("waits for it if that was in an earlier era: it may have been back since") {
+        test.era.number = 1;
+        test.stored.position.era = 1;
+        test.members.position.era = 1;
+        test.service->start();
+        run_for(test, std::chrono::milliseconds(5500));
+        REQUIRE(test.promoted.empty());
+    }
+}
+
+// An instance that was back counted as stored while a new host would not have waited for it.
+TEST_CASE("the gateway of a primary, while a member that was unlisted for long is back") {
+    failover_fixture test;
+    test.host.pools["p"].reachable = true;
+    test.host.reports["p"] = make_status(replication_role::primary, 1);
+    test.members = stored({"p", {"p", "r", "s"}, {}, 0, {}, {}, {{"s", 9}}});
+    const leadership_sources sources = test.service->make_leadership_sources();
+    test.service->start();
+    REQUIRE(test.host.run_until([&] { return sources.stored_members("g") != nullptr; }));
+    SECTION("doesn't take it for stored until it is stored as listed") {
+        test.members.succeeded = false;
+        list_replica(test, "s");
+        run_for(test, std::chrono::milliseconds(200));
+        REQUIRE_FALSE(sources.stored_members("g")->contains("s"));
+        test.members.succeeded = true;
+        REQUIRE(test.host.run_until([&] { return sources.stored_members("g")->contains("s"); }));
+        REQUIRE(test.members.members.unlisted_minutes.empty());
+    }
+}
+
 // A new host counted an instance as gone that had lost the platform while it was leaving.
 TEST_CASE("a leaver that hosts could not reach when its entry expired") {
     group_roster before;
