Fix: an instance that started again under its id was not merged by a host that had left it out

Such a host could promote a replica without commits that only that instance and the primary had.

Cause: what was left out was remembered by id alone, and merging skipped it. The same held for a host that still knew the former process, unlisted. The gateway counted the instance for commits although its new start wasn't stored.

Change: the start is remembered with what was left out, and a later one that is stored is a member. Where starts aren't known, one that is stored as listed and not leaving is. A commit counts on the word of a replica whose present start is stored.

--- a/include/bronzeplank/group_roster.hpp
+++ b/include/bronzeplank/group_roster.hpp
@@ -106,7 +106,8 @@
     /// one has started under the same id.
     static std::string former_process_id(const std::string& id, std::int64_t born_ms);
 
-    /// Adds members that other hosts have stored and that this one has neither seen nor left out.
+    /// Adds members that other hosts have stored and that this one has neither seen nor left out,
+    /// and those that have started again since.
     void merge(const group_members& stored, time_point now);
 
     /// Whether the members include each instance that may have been the only one besides the
@@ -142,10 +143,20 @@
         evidence after_exit;
     };
 
+    struct left_out_member {
+        time_point since;
+        std::int64_t born_ms = 0;
+    };
+
     static bool exited(const known_member& known);
     static bool has_ended(const known_member& known);
     static bool replaces(const known_member& later, const known_member& known);
     static bool has_restarted(const known_member& known, std::int64_t born_ms);
+    static bool is_back(const group_members& stored, const std::string& id,
+                        const left_out_member& left_out);
+    static known_member member_of(const group_members& stored, const std::string& id,
+                                  time_point now);
+    static std::int64_t stored_start(const group_members& stored, const std::string& id);
     static duration unlisted_before(const group_members& stored, const std::string& id);
     void add_former_process(const std::string& id, const known_member& former, time_point now);
     static bool is_obsolete(const known_member& known, time_point now);
@@ -153,8 +164,7 @@
                             const replication_status& status, bool may_settle);
 
     std::map<std::string, known_member> m_members;
-    /// Instances that were left out, and when.
-    std::map<std::string, time_point> m_left_out;
+    std::map<std::string, left_out_member> m_left_out;
     /// Of the instances that left before the first update.
     evidence m_before_start;
     std::optional<time_point> m_started_at;
--- a/src/core/group_roster.cpp
+++ b/src/core/group_roster.cpp
@@ -30,12 +30,12 @@
     }
     for (const auto& [id, known] : m_members) {
         if (is_obsolete(known, now)) {
-            m_left_out[id] = now;
+            m_left_out[id] = {now, known.born_ms};
         }
     }
     std::erase_if(m_members, [&](const auto& entry) { return is_obsolete(entry.second, now); });
     std::erase_if(m_left_out,
-                  [&](const auto& entry) { return now - entry.second > unlisted_retention; });
+                  [&](const auto& entry) { return now - entry.second.since > unlisted_retention; });
 }
 
 std::string group_roster::former_process_id(const std::string& id, std::int64_t born_ms) {
@@ -75,27 +75,51 @@
         unlisted_retention);
 }
 
+std::int64_t group_roster::stored_start(const group_members& stored, const std::string& id) {
+    const auto born = stored.born_ms.find(id);
+    return born == stored.born_ms.end() ? 0 : born->second;
+}
+
+// The members may have been stored before this host left the instance out.
+bool group_roster::is_back(const group_members& stored, const std::string& id,
+                           const left_out_member& left_out) {
+    const std::int64_t born_ms = stored_start(stored, id);
+    if (born_ms != 0 && left_out.born_ms != 0) {
+        return born_ms > left_out.born_ms;
+    }
+    return !stored.leaving.contains(id) && !stored.unlisted_minutes.contains(id);
+}
+
 // The host that stored a leaver may have seen it exit; this one counts it as gone once it isn't
 // listed.
+group_roster::known_member group_roster::member_of(const group_members& stored,
+                                                   const std::string& id, time_point now) {
+    known_member member;
+    member.leaving = stored.leaving.contains(id);
+    member.last_listed = now - unlisted_before(stored, id);
+    member.last_reachable = member.last_listed;
+    member.born_ms = stored_start(stored, id);
+    if (const auto address = stored.addresses.find(id); address != stored.addresses.end()) {
+        member.address = address->second;
+    }
+    return member;
+}
+
 void group_roster::merge(const group_members& stored, time_point now) {
     for (const auto& id : stored.members) {
-        const auto born = stored.born_ms.find(id);
-        const std::int64_t born_ms = born == stored.born_ms.end() ? 0 : born->second;
+        const std::int64_t born_ms = stored_start(stored, id);
         const auto present = m_members.find(id);
-        if (present != m_members.end() && born_ms != 0 && born_ms < present->second.born_ms) {
+        const auto left_out = m_left_out.find(id);
+        if (present == m_members.end()) {
+            if (left_out == m_left_out.end() || is_back(stored, id, left_out->second)) {
+                m_members.emplace(id, member_of(stored, id, now));
+            }
+        } else if (born_ms != 0 && born_ms < present->second.born_ms) {
             known_member former;
             former.born_ms = born_ms;
             add_former_process(id, former, now);
-        }
-        if (!m_left_out.contains(id) && !m_members.contains(id)) {
-            known_member& added = m_members[id];
-            added.leaving = stored.leaving.contains(id);
-            added.last_listed = now - unlisted_before(stored, id);
-            added.last_reachable = added.last_listed;
-            added.born_ms = born_ms;
-            if (const auto address = stored.addresses.find(id); address != stored.addresses.end()) {
-                added.address = address->second;
-            }
+        } else if (!present->second.listed && has_restarted(present->second, born_ms)) {
+            add_former_process(id, std::exchange(present->second, member_of(stored, id, now)), now);
         }
     }
 }
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -45,7 +45,7 @@
         const auto found = m_groups.find(group);
         return found == m_groups.end() || !found->second.stored_members
                    ? nullptr
-                   : &found->second.stored_as_listed;
+                   : &found->second.stored_as_running;
     };
     sources.platform_reachable = m_platform.reachable;
     sources.in_doubt = [this](const std::string& group) {
@@ -231,6 +231,7 @@
     group_state& state = m_groups[group];
     const auto primary = m_directory.primary(group);
     state.roster.update(listed, now);
+    find_stored_as_running(state);
     if (!primary) {
         return;
     }
@@ -563,9 +564,26 @@
 
 void failover_service::note_stored(group_state& state, const group_members& members) {
     state.stored_members = members;
-    state.stored_as_listed = members.members;
-    std::erase_if(state.stored_as_listed,
-                  [&](const auto& id) { return members.unlisted_minutes.contains(id); });
+    find_stored_as_running(state);
+}
+
+void failover_service::find_stored_as_running(group_state& state) {
+    state.stored_as_running.clear();
+    if (!state.stored_members) {
+        return;
+    }
+    const group_members& stored = *state.stored_members;
+    const std::map<std::string, std::int64_t> born_ms = state.roster.born_ms();
+    const auto start_in = [](const auto& starts, const std::string& id) {
+        const auto found = starts.find(id);
+        return found == starts.end() ? 0 : found->second;
+    };
+    for (const auto& id : stored.members) {
+        if (!stored.unlisted_minutes.contains(id) &&
+            start_in(stored.born_ms, id) == start_in(born_ms, id)) {
+            state.stored_as_running.insert(id);
+        }
+    }
 }
 
 // A host that has started lately knows neither the members that left before nor a primary whose
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -169,8 +169,8 @@
         time_point next_renewal_at{};
         /// The members as this host last stored or read them as the gateway of the primary.
         std::optional<group_members> stored_members;
-        /// Those of them that a host that starts later doesn't count as unlisted already.
-        std::set<std::string> stored_as_listed;
+        /// Those of them for whose present process a host waits that starts later.
+        std::set<std::string> stored_as_running;
         bool storing_members = false;
         time_point next_storing_at{};
         acknowledged_writes writes;
@@ -255,6 +255,7 @@
     task<bool> write_current_members(std::string group);
     group_members current_members(const std::string& group);
     void merge_members(const std::string& group, stored_members present);
+    static void find_stored_as_running(group_state& state);
     static void note_stored(group_state& state, const group_members& members);
     void update_roster(const std::string& group, time_point now);
     void settle_roster(const std::string& group, const std::string& primary, time_point now);
--- a/test/session/merged_members_test.cpp
+++ b/test/session/merged_members_test.cpp
@@ -44,3 +44,37 @@
         REQUIRE(roster.members().contains("s"));
     }
 }
+
+// A host that missed the start took the instance for the one that had left, and left it out.
+TEST_CASE(
+    "an instance that starts again under its id while a host still knows its former process") {
+    const time_point start{std::chrono::seconds(100)};
+    group_roster roster;
+    time_point now = start;
+    roster.update({{"p", {}}, {"r", {}}, {"s", {true, true, {}, 1000}}}, now);
+    roster.update({{"p", {}}, {"r", {}}}, now);
+    const auto show_commits_elsewhere = [&] {
+        now += group_roster::detection_time;
+        roster.update({{"p", {}}, {"r", {}}}, now);
+        roster.record_answer("p", make_status(replication_role::primary, 1), true, now);
+        roster.record_answer("r", make_status(replication_role::replica, 1), true, now);
+        roster.update({{"p", {}}, {"r", {}}}, now);
+    };
+    const std::string former = group_roster::former_process_id("s", 1000);
+    const group_members stored{"p", {"p", "r", "s"}, {}, 0, {}, {{"s", 9000}}};
+
+    SECTION("is a member of its own, unlike that one") {
+        roster.merge(stored, now);
+        REQUIRE(roster.members() == std::set<std::string>{"p", "r", "s", former});
+        show_commits_elsewhere();
+        REQUIRE(roster.members() == std::set<std::string>{"p", "r", "s"});
+    }
+    SECTION("is a member after that one was left out, which is not merged again") {
+        show_commits_elsewhere();
+        REQUIRE(roster.members() == std::set<std::string>{"p", "r"});
+        roster.merge({"p", {"p", "r", "s"}, {}, 0, {}, {{"s", 1000}}}, now);
+        REQUIRE(roster.members() == std::set<std::string>{"p", "r"});
+        roster.merge(stored, now);
+        REQUIRE(roster.members() == std::set<std::string>{"p", "r", "s"});
+    }
+}
--- a/test/session/stored_members_test.cpp
+++ b/test/session/stored_members_test.cpp
@@ -138,6 +138,33 @@
     }
 }
 
+// An instance that had started again counted as stored while a host would not have waited for it.
+TEST_CASE("the gateway of a primary, while a member has started again under its id") {
+    failover_fixture test;
+    test.host.pools["p"].reachable = true;
+    test.host.reports["p"] = make_status(replication_role::primary, 1);
+    upstream_instance replica = listed_instance("s", false);
+    replica.born_ms = 1000;
+    test.host.directory.upsert_instance(replica);
+    const leadership_sources sources = test.service->make_leadership_sources();
+    test.service->start();
+    const auto counts_as_stored = [&] {
+        const auto* members = sources.stored_members("g");
+        return members != nullptr && members->contains("s");
+    };
+    REQUIRE(test.host.run_until(counts_as_stored));
+    SECTION("doesn't take it for stored until the start is stored") {
+        test.members.succeeded = false;
+        replica.born_ms = 9000;
+        test.host.directory.upsert_instance(replica);
+        run_for(test, std::chrono::milliseconds(200));
+        REQUIRE_FALSE(counts_as_stored());
+        test.members.succeeded = true;
+        REQUIRE(test.host.run_until(counts_as_stored));
+        REQUIRE(test.members.members.born_ms.at("s") == 9000);
+    }
+}
+
 // A new host counted an instance as gone that had lost the platform while it was leaving.
 TEST_CASE("a leaver that hosts could not reach when its entry expired") {
     group_roster before;
