Fix: a primary whose replicas were all unlisted was acknowledged without any check

A commit was acknowledged though contact with the group was broken, also while an unlisted instance was in doubt.

Cause: commits_need_confirmation asked whether the list has other instances, not whether others may run.

Evidence: upstream_router_test, "is not confirmed while all its replicas are unlisted, which may run": acknowledged before.

Change: only a primary that is the only member, listed or not, needs no confirmation. Price: while all replicas are unlisted, though they run, a commit has an unknown outcome once contact has broken.

--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -366,7 +366,10 @@
 
 bool upstream_router::commits_need_confirmation(const std::string& group,
                                                 const std::string& instance, duration took) {
-    if (commits_without_replicas(group) || !has_replicas(m_directory, group, instance)) {
+    const std::set<std::string> running = members_of(group);
+    const bool is_sole = std::all_of(running.begin(), running.end(),
+                                     [&](const std::string& id) { return id == instance; });
+    if (commits_without_replicas(group) || is_sole) {
         return false;
     }
     if (!others_in_doubt(group, instance).empty()) {
--- a/test/session/upstream_router_test.cpp
+++ b/test/session/upstream_router_test.cpp
@@ -266,6 +266,11 @@
             REQUIRE_FALSE(confirmed());
         }
     }
+    SECTION("is not confirmed while all its replicas are unlisted, which may run") {
+        claim = failover_claim{2, "other", "p", true, 2};
+        host.directory.remove_instance("r", event_loop::now());
+        REQUIRE_FALSE(confirmed());
+    }
     SECTION("and whose claims before the platform's last restoration may be lost") {
         members = {"p", "r"};
         SECTION("is confirmed by all members") {
