--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -46,7 +46,7 @@
         const auto found = m_groups.find(group);
         return found == m_groups.end() || !found->second.stored_members
                    ? nullptr
-                   : &found->second.stored_members->members;
+                   : &found->second.stored_as_running;
     };
     sources.platform_reachable = m_platform.reachable;
     sources.in_doubt = [this](const std::string& group) {
@@ -232,6 +232,7 @@
     group_state& state = m_groups[group];
     const auto primary = m_directory.primary(group);
     state.roster.update(listed, now);
+    find_stored_as_running(state);
     if (!primary) {
         return;
     }
@@ -503,7 +504,8 @@
             roster.leaving(),
             m_platform.era().number,
             roster.addresses(),
-            roster.born_ms()};
+            roster.born_ms(),
+            roster.unlisted_minutes()};
 }
 
 // Only the gateway of the primary stores the members: it decides which commits are acknowledged.
@@ -543,7 +545,7 @@
         co_return false;
     }
     group_state& state = m_groups[group];
-    state.roster.merge(present.members, event_loop::now());
+    merge_members(group, present);
     const group_members wanted = current_members(group);
     if (present.position.revision == 0 || present.members != wanted) {
         const stored_members written =
@@ -552,10 +554,43 @@
             co_return false;
         }
     }
-    state.stored_members = wanted;
+    note_stored(state, wanted);
     co_return true;
 }
 
+// The members of an earlier era may lack some, but all that they name may have commits; they may
+// have been listed since.
+void failover_service::merge_members(const std::string& group, stored_members present) {
+    if (!present.is_current()) {
+        present.members.unlisted_minutes.clear();
+    }
+    m_groups[group].roster.merge(present.members, event_loop::now());
+}
+
+void failover_service::note_stored(group_state& state, const group_members& members) {
+    state.stored_members = members;
+    find_stored_as_running(state);
+}
+
+void failover_service::find_stored_as_running(group_state& state) {
+    state.stored_as_running.clear();
+    if (!state.stored_members) {
+        return;
+    }
+    const group_members& stored = *state.stored_members;
+    const std::map<std::string, std::int64_t> born_ms = state.roster.born_ms();
+    const auto start_in = [](const auto& starts, const std::string& id) {
+        const auto found = starts.find(id);
+        return found == starts.end() ? 0 : found->second;
+    };
+    for (const auto& id : stored.members) {
+        if (!stored.unlisted_minutes.contains(id) &&
+            start_in(stored.born_ms, id) == start_in(born_ms, id)) {
+            state.stored_as_running.insert(id);
+        }
+    }
+}
+
 // A host that has started lately knows neither the members that left before nor a primary whose
 // entry has expired.
 task<bool> failover_service::merge_stored_members(std::string group, failover_claim claim) {
@@ -564,8 +599,7 @@
         co_return false;
     }
     group_state& state = m_groups[group];
-    // The members of an earlier era may lack some, but all that they name may have commits.
-    state.roster.merge(present.members, event_loop::now());
+    merge_members(group, present);
     if (present.is_current() && state.last_primary.empty()) {
         const bool led = claim.finished && !claim.successor.empty();
         state.last_primary = led ? claim.successor : present.members.primary;
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -172,6 +172,8 @@
         time_point next_renewal_at{};
         /// The members as this host last stored or read them as the gateway of the primary.
         std::optional<group_members> stored_members;
+        /// Those of them for whose present process a host waits that starts later.
+        std::set<std::string> stored_as_running;
         bool storing_members = false;
         time_point next_storing_at{};
         acknowledged_writes writes;
@@ -206,8 +208,9 @@
         std::uint64_t term = 0;
         /// The term that the successor leads, as the platform counts terms.
         std::uint64_t leading_term = 0;
-        /// The newest term that may have been promoted before this attempt, and as stored now.
-        std::uint64_t promoted_before = 0;
+        /// The newest term that may have been promoted before this attempt, with its instance.
+        known_primary promoted_before;
+        /// The newest term that may have been promoted, as stored now.
         std::uint64_t promoted_term = 0;
         /// Instances whose promotion may still take effect, as the claim names them.
         std::map<std::string, std::uint64_t> in_doubt;
@@ -260,6 +263,9 @@
     task<void> store_members(std::string group);
     task<bool> write_current_members(std::string group);
     group_members current_members(const std::string& group);
+    void merge_members(const std::string& group, stored_members present);
+    static void find_stored_as_running(group_state& state);
+    static void note_stored(group_state& state, const group_members& members);
     void update_roster(const std::string& group, time_point now);
     void settle_roster(const std::string& group, const std::string& primary, time_point now);
     static bool is_former(const group_state& state, const known_primary& primary);
@@ -281,6 +287,8 @@
     void record_choice(failover_attempt& attempt, const std::string& successor) const;
     failover_claim claim_for(const failover_attempt& attempt, const std::string& successor,
                              std::uint64_t term) const;
+    failover_claim claim_without_successor(const failover_attempt& attempt,
+                                           std::uint64_t era) const;
     static std::string joined(const std::set<std::string>& instances);
     task<bool> resume_paused_replicas(failover_attempt& attempt);
     task<std::string> pause_and_choose_successor(failover_attempt& attempt);
--- a/test/platform/platform_documents_test.cpp
+++ b/test/platform/platform_documents_test.cpp
@@ -89,10 +89,16 @@
     REQUIRE(read_claim(write_claim(claim)) == claim);
     const failover_claim chosen{5, "h", "i-7", false, 5, 3, true, {}, {4, 27}, "i-7 at \"4.27\""};
     REQUIRE(read_claim(write_claim(chosen)) == chosen);
+    failover_claim abandoned{5, "h", "", true, 4};
+    abandoned.promoted_instance = "i-\"7\"";
+    REQUIRE(read_claim(write_claim(abandoned)) == abandoned);
     const auto earlier = read_claim(R"({"term":5,"holder":"h","successor":"","finished":true})");
     REQUIRE(earlier.promoted_term == 5);
     REQUIRE(earlier.first_position == log_position{});
     REQUIRE(earlier.choice.empty());
+    REQUIRE(earlier.newest_promoted().empty());
+    REQUIRE(read_claim(R"({"term":5,"holder":"h","successor":"i-7","finished":true})")
+                .newest_promoted() == "i-7");
     failover_claim extreme = chosen;
     extreme.first_position = {any_term, any_term};
     REQUIRE(read_claim(write_claim(extreme)).successor == "i-7");
@@ -101,10 +107,14 @@
 
 TEST_CASE("encoded members of a group decode to the same members") {
     const group_members members{
-        "i-1", {"i-1", "i-\"2\"", "i-3"},   {"i-3"},
-        4,     {{"i-1", {"10.0.0.1", 80}}}, {{"i-1", 1'700'000'000'000}, {"i-3", 1}}};
+        "i-1",       {"i-1", "i-\"2\"", "i-3"},   {"i-3"},
+        4,           {{"i-1", {"10.0.0.1", 80}}}, {{"i-1", 1'700'000'000'000}, {"i-3", 1}},
+        {{"i-3", 7}}};
     REQUIRE(read_members(write_members(members)) == members);
     REQUIRE(read_members(write_members({})) == group_members{});
+    const auto earlier =
+        read_members(R"({"primary":"i-1","members":[{"id":"i-1"}],"leaving":[],"era":0})");
+    REQUIRE(earlier == group_members{"i-1", {"i-1"}, {}, 0});
     REQUIRE_THROWS_AS(read_members(R"({"primary":"i-1","members":"i-1"})"), input_error);
     REQUIRE_THROWS_AS(read_members(R"({"primary":"i-1","members":[1],"leaving":[],"era":0})"),
                       input_error);
