The kernel doesn't end a connection before its call is given up (found by review)

A connection that the kernel gives up ends without a reset, and closing it later sends none either: held bytes could be delivered after all. Cause: the kernel's limit for unacknowledged bytes (TCP_USER_TIMEOUT) was the call's own, 500 ms, counted from when the bytes left, so that a loop that is a few milliseconds late lost the race; on control connections it was 600 ms while a command may be given up 475 ms after an unacknowledged status request.

--- a/src/edge/abortive_exchange.cpp
+++ b/src/edge/abortive_exchange.cpp
@@ -16,6 +16,10 @@
 
 namespace {
 
+// The kernel ends a connection without a reset when it gives up. It must not do so before the call
+// is given up here; it is left to end the call of a process that is suspended.
+constexpr std::chrono::milliseconds kernel_timeout_margin{300};
+
 std::string_view name_of(http_method method) {
     switch (method) {
     case http_method::put:
@@ -139,7 +143,7 @@
     const oneshot<int> done(loop);
     const timer expiry = loop.after(timeout, [done] { done.set(0); });
     abortive_call call(to_bytes(request, target), send_by, done);
-    call.start(loop, target, timeout);
+    call.start(loop, target, timeout + kernel_timeout_margin);
     const int status = co_await done;
     co_return abortive_reply{call.sent(), status};
 }
--- a/src/session/upstream_connection.hpp
+++ b/src/session/upstream_connection.hpp
@@ -8,9 +8,13 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace bronzeplank {
 
+/// The workspace on whose behalf a host sends commands and status requests.
+constexpr std::string_view control_workspace = "bronzeplank";
+
 /// A replication command that changes something isn't sent this long after it was given to the
 /// connection: it may contradict a later one by then.
 constexpr std::chrono::milliseconds command_send_limit{500};
--- a/src/session/upstream_pool.hpp
+++ b/src/session/upstream_pool.hpp
@@ -703,8 +703,6 @@
         return *m_control_connection;
     }
 
-    static constexpr std::string_view control_workspace = "bronzeplank";
-
     event_loop& m_loop;
     upstream_instance m_instance;
     pool_limits m_limits;
