--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -85,20 +85,23 @@
 bool failover_service::is_recently_promoted(const group_state& state, const failover_claim& claim,
                                             time_point now) const {
     const known_primary last{state.last_primary, state.last_term};
-    const bool names_promotion = claim.finished && !claim.successor.empty();
-    const bool own = claim.holder == m_router.host();
     const bool promoted_here =
-        state.promoted_here == last ||
-        (names_promotion && own && known_primary{claim.successor, claim.term} == last);
+        state.promoted_here == last || (claim.finished && claim.holder == m_router.host() &&
+                                        known_primary{claim.successor, claim.term} == last);
     if (!promoted_here && now - state.primary_since < claim_timeout) {
         return true;
     }
-    // The first term that this host learns of may be a new one, too: the claim shows it.
-    if (!names_promotion || own || claim.holder.empty() || claim.promoted_term < last.term) {
+    // The first term that this host learns of may be a new one, too: the claim shows it. One that
+    // was released names what was promoted before it.
+    const known_primary promoted{claim.newest_promoted(), claim.promoted_term};
+    const bool by_this_host = state.promoted_here == promoted ||
+                              (!claim.successor.empty() && claim.holder == m_router.host());
+    if (!claim.finished || claim.holder.empty() || promoted.instance.empty() || by_this_host ||
+        promoted.term < last.term) {
         return false;
     }
-    const bool learned = known_primary{claim.successor, claim.promoted_term} == last;
-    return now - (learned ? state.term_since : state.claim_seen_at) < claim_timeout;
+    return now - (promoted == last ? state.term_since : state.promoted_term_seen_at) <
+           claim_timeout;
 }
 
 // The claim before a successor is chosen, and after none could be.
@@ -145,6 +148,10 @@
         co_return false;
     }
     const time_point now = event_loop::now();
+    if (present.claim.finished && present.claim.promoted_term != state.promoted_term) {
+        state.promoted_term = present.claim.promoted_term;
+        state.promoted_term_seen_at = now;
+    }
     if (is_recently_promoted(state, present.claim, now)) {
         co_return false;
     }
@@ -399,6 +406,7 @@
             co_await sleep_for(m_loop, poll_interval);
         }
     }
+    }
     while (event_loop::now() < deadline) {
         repeat_pause(attempt, successor);
         const auto status = co_await send_command(successor, replication_command::report, 0);
--- a/src/session/failover_service.hpp
+++ b/src/session/failover_service.hpp
@@ -161,6 +161,9 @@
         time_point primary_since{};
         /// When this host learned of `last_term`.
         time_point term_since{};
+        /// The newest promoted term of a finished claim, and when this host first read one with it.
+        std::uint64_t promoted_term = 0;
+        time_point promoted_term_seen_at{};
         /// The last primary that this host promoted itself.
         known_primary promoted_here;
         bool waiting_logged = false;
--- a/test/session/abandoned_claim_test.cpp
+++ b/test/session/abandoned_claim_test.cpp
@@ -18,6 +18,8 @@
     test.host.pools["p"].reachable = true;
     test.host.reports["r"] = {replication_role::replica, 1, {1, 26}, 0};
     test.service->start();
+    // Until then "other" may have promoted "q" a moment ago.
+    run_for(test, claim_timeout);
     test.host.run_until([&] { return !test.written.empty(); });
     test.host.run_until([&] { return test.written.back().finished; });
     REQUIRE(test.promoted.empty());
--- a/test/session/recent_promotions_test.cpp
+++ b/test/session/recent_promotions_test.cpp
@@ -39,6 +39,15 @@
         run_for(test, claim_timeout - milliseconds(500));
         REQUIRE(test.promoted.empty());
     }
+    SECTION("it promotes nobody within a claim's time if a released claim names the promotion") {
+        test.stored = promotion_by("other", 2);
+        test.stored.claim.promoted_instance = test.stored.claim.successor;
+        test.stored.claim.successor.clear();
+        test.service->start();
+        run_for(test, claim_timeout - milliseconds(500));
+        REQUIRE(test.promoted.empty());
+        REQUIRE(test.host.run_until(promoted));
+    }
     SECTION("it needn't wait if") {
         SECTION("it has promoted \"p\" itself") {
             test.stored = promotion_by(test.host.router.host(), 2);
