--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -392,7 +392,9 @@
              {"took_ms", std::to_string(to_milliseconds(event_loop::now() - requested_at))}});
         attempt.requested |= result != promotion_result::unsent;
         // If no request has left this host, another one may reach the platform.
-        if (result == promotion_result::refused || !attempt.requested) {
+        const bool yields =
+            !attempt.requested && event_loop::now() >= attempt.lease_end - claim_lease / 2;
+        if (result == promotion_result::refused || yields) {
             co_return false;
         }
         accepted = result == promotion_result::done;
@@ -405,7 +407,12 @@
             repeat_pause(attempt, successor);
             co_await sleep_for(m_loop, poll_interval);
         }
-    }
+        // Others wait from the claim's last change, so that their request comes a claim's time
+        // after the last one of this host.
+        if (result == promotion_result::unanswered &&
+            !co_await store_successor(attempt, successor, attempt.promoted_term)) {
+            co_return false;
+        }
     }
     while (event_loop::now() < deadline) {
         repeat_pause(attempt, successor);
