--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds restoration_pause{100};
 // Contact with a group is kept for this long after the last check.
 constexpr std::chrono::seconds contact_retention{3};
+// A primary is superseded only while its work is still being checked.
+constexpr std::chrono::milliseconds superseded_retention{1000};
 
 bool has_replicas(const fleet_directory& directory, const std::string& group,
                   const std::string& primary) {
@@ -177,6 +179,7 @@
     if (state.primary != primary) {
         state.primary = primary;
         state.contact.reset();
+        state.superseded_since.reset();
     }
     return state;
 }
@@ -241,6 +244,7 @@
     m_sources.read_claim(group, [this, next](const std::optional<failover_claim>& claim) {
         // Claims store a term before its promotion is requested.
         const bool newer = claim && claim->promoted_term > next.primary.term;
+        note_superseded(next.group, newer);
         if (newer || (claim && claim->complete)) {
             next.on_finished(!newer, next.requested_at);
         } else {
@@ -249,6 +253,27 @@
     });
 }
 
+void upstream_router::note_superseded(const std::string& group, bool superseded) {
+    group_contact& state = contact_with(group);
+    if (!superseded) {
+        state.superseded_since.reset();
+        return;
+    }
+    state.superseded_at = event_loop::now();
+    state.superseded_since = state.superseded_since.value_or(state.superseded_at);
+}
+
+bool upstream_router::is_superseded(const std::string& group, const std::string& instance) const {
+    const auto found = m_contacts.find(group);
+    if (found == m_contacts.end() || found->second.primary.instance != instance) {
+        return false;
+    }
+    const group_contact& state = found->second;
+    const time_point now = event_loop::now();
+    return state.superseded_since && now - *state.superseded_since >= claim_timeout &&
+           now - state.superseded_at < superseded_retention;
+}
+
 // A host that is cut off from most others may not know all members.
 bool upstream_router::can_ask_members(const std::string& group) const {
     const time_point now = event_loop::now();
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -107,6 +107,10 @@
     void check_leadership(const std::string& group, const std::string& instance,
                           std::function<void(bool)> on_checked);
 
+    /// Whether nothing that the group's primary does can be confirmed any more: for a claim's time,
+    /// the claim has named a newer term, which the primary doesn't lead.
+    bool is_superseded(const std::string& group, const std::string& instance) const;
+
     /// Whether prove_by_members() may succeed: all members that may run are reachable, and most
     /// hosts are live.
     bool can_ask_members(const std::string& group) const;
@@ -187,6 +191,10 @@
         time_point used_at{};
         bool restoring = false;
         time_point restoration_failed_at{};
+        /// Since when, and when last, contact could not be restored because the claim names a newer
+        /// term.
+        std::optional<time_point> superseded_since;
+        time_point superseded_at{};
         /// Checks that the running restoration serves, and those that came too late for it.
         std::vector<std::function<void(bool)>> served;
         std::vector<std::function<void(bool)>> waiting;
@@ -224,6 +232,7 @@
     established_replicas& established_in(const std::string& group, time_point now);
     group_contact& contact_with(const std::string& group);
     void keep_contact(const std::string& group, time_point now);
+    void note_superseded(const std::string& group, bool superseded);
     void require_contact(const std::string& group, std::function<void(bool)> on_checked);
     void restore_contact(const std::string& group);
     void ask_members(const restoration& asked);
--- a/test/session/upstream_router_test.cpp
+++ b/test/session/upstream_router_test.cpp
@@ -3,6 +3,7 @@
 #include "model/single_host.hpp"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace bronzeplank;
 
@@ -258,6 +259,24 @@
     SECTION("is confirmed by no replica alone: the promotion may have ended its pause") {
         REQUIRE_FALSE(confirmed());
     }
+    SECTION(
+        "is to be replaced if a claim's time doesn't end that: its callers would wait for ever") {
+        claim = failover_claim{3, "other", "", true, 3};
+        claim->complete = true;
+        const time_point end = event_loop::now() + claim_timeout;
+        REQUIRE_FALSE(confirmed());
+        REQUIRE_FALSE(host.router.is_superseded("g", "p"));
+        while (event_loop::now() < end + std::chrono::milliseconds(200)) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            REQUIRE_FALSE(confirmed());
+        }
+        REQUIRE(host.router.is_superseded("g", "p"));
+        SECTION("but not once the claim names no newer term") {
+            claim->promoted_term = 2;
+            host.run_until([&] { return confirmed(); });
+            REQUIRE_FALSE(host.router.is_superseded("g", "p"));
+        }
+    }
     SECTION("is not confirmed if a newer term may have been promoted") {
         claim = failover_claim{3, "other", "unlisted", false, 3};
         REQUIRE_FALSE(confirmed());
