failover_service_test: a host that has just learned a term waits for the claim that names its promotion

The section on paused replicas of a stalled primary failed in the run of all tests (written.size() >= 2 within 3 s): its claim names another host's promotion of the term that the host learns at its start, for which hosts wait a claim's time since. The section waits that long first; all that it demands stays.

--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -372,6 +372,8 @@
         test.host.reports["r"].paused_by = 3;
         test.host.reports["s"].paused_by = 3;
         test.service->start();
+        // Until then "other" may have promoted "p" a moment ago.
+        run_for(test, claim_timeout);
         REQUIRE(test.host.run_until([&] { return test.written.size() >= 2; }));
         failover_claim released{4, "host", "", true, 1};
         released.promoted_instance = "p";
