--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,7 +9,7 @@
 sys.dont_write_bytecode = True
 import small_world  # noqa: E402
 
-CLIENTS = 16
+CLIENTS = 20
 DATA_BYTES = 900_000
 WORK_S = 0.3
 TIMEOUT_S = 1.5
@@ -39,14 +39,18 @@
     while world.record.now() < end.at:
         identity = LARGE + small_world.new_id()[2:]
         client.send_large(identity)
-        await client.writer.drain()
+        try:
+            await client.writer.drain()
+        except OSError:
+            # Closed at rest before it was sent.
+            return
         sent_at = world.record.now()
         answer = await client.answer(identity)
         lost = answer is None and client.ended
         results.append((identity, sent_at, world.record.now(), answer, lost))
         if answer is None:
             return
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(0.4)
     client.close()
 
 
--- a/review/standins-2/small_world.py
+++ b/review/standins-2/small_world.py
@@ -23,7 +23,10 @@
           "ColdSlack": 5, "EvacuateMs": 5000, "RecoveryS": 12, "Fencing": False, "ThawMs": 300}
 HEARTBEAT_S = 1.2
 REPLICATE_S = 0.008
-PROMOTE_S = 0.3
+PROMOTE_S = (0.28, 0.34)
+LINK_S = 0.0014
+STORE_S = 0.004
+STATUS_S = (0.0005, 0.003)
 FRONT_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 8465, 8460, 8462, 7560
 
 
@@ -106,6 +109,7 @@
         changed.set()
 
     async def handle(self, method, path, _headers, body):
+        await asyncio.sleep(STORE_S)
         path, _, query = path.partition("?")
         options = dict(part.split("=") for part in query.split("&") if part)
         parts = path.strip("/").split("/")
@@ -160,6 +164,8 @@
         self.sequence, self.heard_at = 0, 0.0
         self.born = int(time.time() * 1000)
         self.server = None
+        # Set when replicas have received something.
+        self.progress = asyncio.Event()
         self.writers = {}
         # The hosts that it is partitioned from.
         self.cut_from = set()
@@ -241,6 +247,7 @@
                 return [], f"ERROR LAGGING {self.id}"
             verb, _, rest = text.partition(" ")
         if verb in ("STATUS", "PAUSE", "RESUME", "DEMOTE"):
+            await asyncio.sleep(random.uniform(*STATUS_S))
             return self.command(verb, rest)
         if session["state"] == "E" and verb != "ROLLBACK":
             return [], f"ERROR MALFORMED {self.id}"
@@ -303,10 +310,14 @@
         asyncio.get_running_loop().call_later(REPLICATE_S, self.replicate)
         needed = self.world.sync_of(self.service)
         while self.role == "primary" and needed:
-            await asyncio.sleep(REPLICATE_S)
-            self.replicate()
-            if sum(other.received >= mine for other in self.replicas()) >= needed:
+            if sum(other.term == self.term and other.received >= mine
+                   for other in self.replicas()) >= needed:
                 return True
+            progress = self.progress
+            try:
+                await asyncio.wait_for(progress.wait(), 2 * REPLICATE_S)
+            except asyncio.TimeoutError:
+                self.replicate()
         return self.role == "primary"
 
     def replicas(self):
@@ -317,6 +328,8 @@
         for other in self.replicas():
             if self.role == "primary" and not other.held and other.term <= self.term:
                 other.term, other.received = self.term, max(other.received, self.received)
+        progress, self.progress = self.progress, asyncio.Event()
+        progress.set()
 
     def command(self, verb, rest):
         if verb == "PAUSE" and self.role == "replica" and int(rest) > self.term:
@@ -333,7 +346,6 @@
     def promote(self):
         newest = max(i.term for i in self.group) + 1
         self.term, self.role, self.held = newest, "primary", 0
-        self.began_at = self.received
         self.world.promoted(self)
         self.report()
         for other in self.group:
@@ -364,7 +376,7 @@
         if chosen is None or not chosen.server:
             return 409, {}
         if chosen.role != "primary":
-            asyncio.get_running_loop().call_later(PROMOTE_S, chosen.promote)
+            asyncio.get_running_loop().call_later(random.uniform(*PROMOTE_S), chosen.promote)
         return 200, {}
 
 
@@ -526,7 +538,7 @@
                 self.fronts.append(Front(self, number, zone))
         self.routes, self.tenants, self.services = [], [], []
         self.version = 7
-        self.paths, self.cut = {}, set()
+        self.paths, self.cut, self.apart = {}, set(), set()
         self.runs, self.commits, self.promotions = {}, {}, []
 
     def next_address(self):
@@ -579,6 +591,9 @@
                     writer.transport.abort()
 
     def linked(self, one, other):
+        """Whether they reach each other; of two instances, also whether their own link is whole."""
+        if one in self.apart or other in self.apart:
+            return isinstance(one, Front) or isinstance(other, Front)
         return (one.zone in self.cut) == (other.zone in self.cut)
 
     def work_time(self, _identity):
@@ -594,8 +609,8 @@
     def is_rolled_back(self, identity):
         """Whether a promote has dropped the commit."""
         _, instance, (term, number) = self.commits[identity]
-        return any(chosen.service == instance.service and chosen.term > term
-                   and chosen.began_at < (term, number) for _, chosen in self.promotions)
+        return any(chosen.service == instance.service and later > term and began < (term, number)
+                   for _, chosen, later, began in self.promotions)
 
     def front_at(self, port):
         """The host that has the other end of a connection to an instance, or None."""
@@ -618,7 +633,7 @@
 
     def promoted(self, instance):
         self.record("cloud", f"{instance.id} leads term {instance.term} with {instance.position()}")
-        self.promotions.append((self.record.now(), instance))
+        self.promotions.append((self.record.now(), instance, instance.term, instance.received))
 
     def ran(self, instance, session, identity, text):
         self.record(instance.id, f"runs {identity} [{text}] for {session['who']}")
