Tell for how long an instance's connection was open when it answered

Cause: status requests aren't logged, and an answer doesn't tell which process gave it. The list does, but later. No decision reads them yet.

--- a/include/bronzeplank/statement.hpp
+++ b/include/bronzeplank/statement.hpp
@@ -4,6 +4,7 @@
 
 #include "bronzeplank/load_report.hpp"
 #include "bronzeplank/log_position.hpp"
+#include "bronzeplank/time.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -112,6 +113,9 @@
     log_position received;
     /// The term of the command that paused receiving; 0 if it is not paused.
     std::uint64_t paused_by = 0;
+    /// For how long the connection had been open on which the instance answered: its process has
+    /// run for at least as long. Nothing if the host that asked doesn't report it.
+    std::optional<duration> connected_for{};
     auto operator<=>(const replication_status&) const = default;
 };
 
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -42,6 +42,8 @@
     log_event_row{log_event::acknowledged_write_missing, "acknowledged_write_missing", "warning"},
     log_event_row{log_event::lossy_promotion, "lossy_promotion", "warning"},
     log_event_row{log_event::promotion_unanswered, "promotion_unanswered", "warning"},
+    log_event_row{log_event::commit_confirmed, "commit_confirmed", "info"},
+    log_event_row{log_event::contact_restored, "contact_restored", "info"},
     log_event_row{log_event::key_withdrawn, "key_withdrawn", "info"},
     log_event_row{log_event::peer_joined, "peer_joined", "info"},
     log_event_row{log_event::peer_lost, "peer_lost", "warning"},
--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -37,6 +37,8 @@
     acknowledged_write_missing = 1312,
     lossy_promotion = 1313,
     promotion_unanswered = 1314,
+    commit_confirmed = 1315,
+    contact_restored = 1316,
     key_withdrawn = 1401,
     peer_joined = 1501,
     peer_lost = 1502,
--- a/src/session/commit_confirmation.cpp
+++ b/src/session/commit_confirmation.cpp
@@ -1,6 +1,8 @@
 // The router's confirmation that commits outlast a failover.
 #include "session/upstream_router.hpp"
 
+#include "runtime/log.hpp"
+
 #include <algorithm>
 
 namespace bronzeplank {
@@ -13,6 +15,18 @@
 // A commit that took longer may have waited until an instance received it that no host knows yet.
 constexpr std::chrono::milliseconds delayed_commit_threshold{150};
 
+void log_confirmed(const std::string& group, const std::string& primary, const std::string& replica,
+                   const log_position& position, const replication_status& status) {
+    log(log_event::commit_confirmed,
+        {{"group", group},
+         {"position", to_text(position)},
+         {"primary", primary},
+         {"replica", replica},
+         {"connected_ms", status.connected_for
+                              ? std::to_string(to_milliseconds(*status.connected_for))
+                              : ""}});
+}
+
 } // namespace
 
 // A host that starts later accounts for the stored members only. Without knowing them, as while the
@@ -89,6 +103,7 @@
         return enough;
     });
     for (auto& request : received) {
+        log_confirmed(group, primary.instance, replica, request.position, status);
         acknowledge_in_contact(group, primary.instance, std::move(request));
     }
 }
--- a/src/session/fleet_messages.cpp
+++ b/src/session/fleet_messages.cpp
@@ -176,6 +176,10 @@
         target.set_received_term(status->received.term);
         target.set_received_offset(status->received.offset);
         target.set_paused_by(status->paused_by);
+        if (status->connected_for) {
+            target.set_connected_ms(
+                static_cast<std::uint64_t>(to_milliseconds(*status->connected_for)));
+        }
     }
 }
 
@@ -188,10 +192,15 @@
         return std::nullopt;
     }
     const auto role = message.primary() ? replication_role::primary : replication_role::replica;
-    return replication_status{role,
+    replication_status status{role,
                               message.term(),
                               {message.received_term(), message.received_offset()},
                               message.paused_by()};
+    if (message.has_connected_ms()) {
+        status.connected_for = std::chrono::milliseconds(
+            std::min<std::uint64_t>(message.connected_ms(), max_reported_us / 1000));
+    }
+    return status;
 }
 
 void write_directory(const directory_snapshot& snapshot, wire::directory_snapshot& target) {
--- a/src/session/leadership_checks.cpp
+++ b/src/session/leadership_checks.cpp
@@ -1,6 +1,8 @@
 // The router's checks which instance is a group's primary, and the contact that they rest on.
 #include "session/upstream_router.hpp"
 
+#include "runtime/log.hpp"
+
 #include <algorithm>
 #include <tuple>
 
@@ -22,6 +24,18 @@
                        [&](const auto& entry) { return entry.first != primary; });
 }
 
+/// \param claim the claim that proved it; nullptr if all members did
+void log_restored(const std::string& group, const known_primary& primary,
+                  const failover_claim* claim) {
+    log(log_event::contact_restored,
+        {{"group", group},
+         {"primary", primary.instance},
+         {"term", std::to_string(primary.term)},
+         {"proof", claim != nullptr ? "claim" : "members"},
+         {"claim_term", claim != nullptr ? std::to_string(claim->term) : ""},
+         {"claim_finished", claim != nullptr ? (claim->finished ? "true" : "false") : ""}});
+}
+
 } // namespace
 
 // If commits need a replica, an instance that is no longer listed may have been promoted.
@@ -130,6 +144,9 @@
         const bool newer = claim && claim->promoted_term > next.primary.term;
         note_superseded(next.group, newer);
         if (newer || (claim && claim->complete)) {
+            if (!newer) {
+                log_restored(next.group, next.primary, &*claim);
+            }
             next.on_finished(!newer, next.requested_at);
         } else {
             restore_by_members(next);
@@ -231,6 +248,7 @@
     if (!all_confirm || (!any_established && !asked.old_confirmed)) {
         asked.on_finished(false, asked.requested_at);
     } else if (asked.rest.empty()) {
+        log_restored(asked.group, asked.primary, nullptr);
         asked.on_finished(true, asked.requested_at);
     } else {
         ask_members({asked.group,
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -50,7 +50,8 @@
         callbacks.send_command = [this](const std::string&, replication_command command,
                                         std::uint64_t term, const status_handler& on_status) {
             commands.push_back(command);
-            on_status(replication_status{replication_role::replica, term, {term, 9}, 0});
+            on_status(replication_status{
+                replication_role::replica, term, {term, 9}, 0, std::chrono::seconds(2)});
         };
         callbacks.request_verified_position = [](const std::string&,
                                                  const verified_position_handler& on_position) {
@@ -251,6 +252,7 @@
         REQUIRE(run_until(loop, [&] { return position_received && reported; }));
         REQUIRE(*position_received == log_position{4, 2});
         REQUIRE(reported->term == 8);
+        REQUIRE(reported->connected_for == std::chrono::seconds(2));
     }
     SECTION("know each other's capacity, by which they choose relays") {
         const fleet_peer& peer = *second->peers->find_live("first");
