Count a replica's answers only from a process that ran before the claim

Cause: a paused replica that starts again under its id has forgotten its pause. Change: process_continuity decides by the age of the connection whether an answer counts: it was open when a claim was read that nobody acted on, or for longer than a claim is acted on. After a new connection the claim is read once. All paths that rest on a replica's word ask it; the walks model it.

--- a/src/session/commit_confirmation.cpp
+++ b/src/session/commit_confirmation.cpp
@@ -22,9 +22,8 @@
          {"position", to_text(position)},
          {"primary", primary},
          {"replica", replica},
-         {"connected_ms", status.connected_for
-                              ? std::to_string(to_milliseconds(*status.connected_for))
-                              : ""}});
+         {"connected_ms",
+          status.connected_for ? std::to_string(to_milliseconds(*status.connected_for)) : ""}});
 }
 
 } // namespace
@@ -82,13 +81,13 @@
 }
 
 void upstream_router::record_received(const std::string& group, const known_primary& primary,
-                                      const std::string& replica,
-                                      const replication_status& status) {
+                                      const std::string& replica, const replication_status& status,
+                                      time_point requested_at) {
     if (!confirms_leadership(status, primary)) {
         return;
     }
     const bool suffices =
-        established_in(group).is_established(replica) && is_stored(group, replica);
+        vouches(group, replica, status, requested_at) && is_stored(group, replica);
     std::vector<commit_request> received;
     std::erase_if(m_commit_rounds[group].waiting, [&](commit_request& request) {
         if (request.position.term != primary.term || status.received < request.position) {
@@ -162,13 +161,14 @@
         finish_commit_round(group);
         return;
     }
+    const time_point requested_at = event_loop::now();
     for (const auto& replica : replicas) {
         send_command(replica, replication_command::report, 0,
-                     [this, group, instance, replica,
+                     [this, group, instance, replica, requested_at,
                       unanswered](const std::optional<replication_status>& status) {
                          const auto primary = m_directory.primary(group);
                          if (status && primary && primary->instance == instance) {
-                             record_received(group, *primary, replica, *status);
+                             record_received(group, *primary, replica, *status, requested_at);
                          }
                          if (--*unanswered == 0) {
                              finish_commit_round(group);
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -78,6 +78,7 @@
             note_doubts(group, stored);
             claim = stored.claim;
             claim->complete = stored.covers_promotions();
+            claim->finished = !may_be_held(group, stored, event_loop::now());
             if (!claim->complete && !is_era_settled()) {
                 claim->promoted_term = any_term;
             }
@@ -338,7 +339,8 @@
                      const std::string& replica, const std::optional<replication_status>& answer) {
                      if (answer) {
                          m_groups[group].roster.record_answer(
-                             replica, *answer, m_router.is_established(group, replica),
+                             replica, *answer,
+                             m_router.vouches(group, replica, *answer, replicas_requested_at),
                              replicas_requested_at);
                      }
                  });
--- a/src/session/leadership_checks.cpp
+++ b/src/session/leadership_checks.cpp
@@ -116,6 +116,15 @@
         on_checked(true);
         return;
     }
+    prove_leadership(group, std::move(on_checked));
+}
+
+// Like require_contact(), but doesn't rely on contact.
+void upstream_router::prove_leadership(const std::string& group,
+                                       std::function<void(bool)> on_checked) {
+    group_contact& state = contact_with(group);
+    const time_point now = event_loop::now();
+    state.used_at = now;
     if (now - state.restoration_failed_at < restoration_pause) {
         on_checked(false);
         return;
@@ -143,6 +152,7 @@
         // Claims store a term before its promotion is requested.
         const bool newer = claim && claim->promoted_term > next.primary.term;
         note_superseded(next.group, newer);
+        note_claim(next.group, claim, next.primary, next.requested_at);
         if (newer || (claim && claim->complete)) {
             if (!newer) {
                 log_restored(next.group, next.primary, &*claim);
@@ -154,6 +164,40 @@
     });
 }
 
+void upstream_router::note_claim(const std::string& group,
+                                 const std::optional<failover_claim>& claim,
+                                 const known_primary& primary, time_point read_at) {
+    if (claim && claim->finished && claim->complete && claim->promoted_term <= primary.term) {
+        contact_with(group).processes.record_unclaimed(read_at);
+    }
+}
+
+// Answers on a connection that was opened since the claim was last read don't count. If the
+// connection was only reset, one more reading shows it, and callers hardly wait.
+void upstream_router::read_claim_for_processes(const std::string& group) {
+    group_contact& state = contact_with(group);
+    const time_point now = event_loop::now();
+    if (state.reading_claim || now < state.next_claim_read_at ||
+        now - state.used_at > contact_retention || !m_sources.platform_reachable ||
+        !m_sources.platform_reachable()) {
+        return;
+    }
+    state.reading_claim = true;
+    m_sources.read_claim(group, [this, group, primary = state.primary,
+                                 now](const std::optional<failover_claim>& claim) {
+        note_claim(group, claim, primary, now);
+        group_contact& current = contact_with(group);
+        current.reading_claim = false;
+        current.next_claim_read_at = event_loop::now() + restoration_pause;
+    });
+}
+
+bool upstream_router::vouches(const std::string& group, const std::string& instance,
+                              const replication_status& answer, time_point requested_at) {
+    return established_in(group).is_established(instance) &&
+           contact_with(group).processes.covers(answer, requested_at, event_loop::now());
+}
+
 void upstream_router::note_superseded(const std::string& group, bool superseded) {
     group_contact& state = contact_with(group);
     if (!superseded) {
@@ -225,26 +269,33 @@
     struct answers {
         std::size_t missing = 0;
         bool all_confirm = true;
+        bool any_established = false;
     };
     const auto collected = std::make_shared<answers>();
     collected->missing = asked.first.size();
+    const time_point requested_at = event_loop::now();
     for (const auto& id : asked.first) {
         send_command(id, replication_command::report, 0,
-                     [this, asked, collected](const std::optional<replication_status>& status) {
-                         collected->all_confirm = collected->all_confirm && status &&
+                     [this, id, asked, collected,
+                      requested_at](const std::optional<replication_status>& status) {
+                         const process_continuity& processes = contact_with(asked.group).processes;
+                         const bool counts =
+                             status && (asked.old_confirmed ||
+                                        processes.covers(*status, requested_at, event_loop::now()));
+                         collected->all_confirm = collected->all_confirm && counts &&
                                                   confirms_leadership(*status, asked.primary);
+                         collected->any_established |=
+                             counts && established_in(asked.group).is_established(id);
                          if (--collected->missing == 0) {
-                             finish_asking(asked, collected->all_confirm);
+                             finish_asking(asked, collected->all_confirm,
+                                           collected->any_established);
                          }
                      });
     }
 }
 
-void upstream_router::finish_asking(const restoration& asked, bool all_confirm) {
-    const established_replicas& replicas = established_in(asked.group);
-    const bool any_established =
-        std::any_of(asked.first.begin(), asked.first.end(),
-                    [&](const auto& id) { return replicas.is_established(id); });
+void upstream_router::finish_asking(const restoration& asked, bool all_confirm,
+                                    bool any_established) {
     if (!all_confirm || (!any_established && !asked.old_confirmed)) {
         asked.on_finished(false, asked.requested_at);
     } else if (asked.rest.empty()) {
@@ -369,42 +420,53 @@
         return;
     }
     if (!contact_with(group).contact.unbroken(event_loop::now())) {
-        require_undoubted_contact(group, instance, std::move(on_checked));
+        require_undoubted_contact(group, instance, false, std::move(on_checked));
         return;
     }
     const std::string replica = confirming_replicas.front();
     confirming_replicas.erase(confirming_replicas.begin());
-    send_command(
-        replica, replication_command::report, 0,
-        [this, group, instance, replica, confirming_replicas = std::move(confirming_replicas),
-         on_checked =
-             std::move(on_checked)](const std::optional<replication_status>& status) mutable {
-            const auto current_primary = m_directory.primary(group);
-            if (!status || !established_in(group).is_established(replica)) {
-                request_confirmation(group, instance, std::move(confirming_replicas),
-                                     std::move(on_checked));
-                return;
-            }
-            if (!current_primary || current_primary->instance != instance ||
-                !confirms_leadership(*status, *current_primary)) {
-                on_checked(false);
-                return;
-            }
-            require_undoubted_contact(group, instance, std::move(on_checked));
-        });
+    send_command(replica, replication_command::report, 0,
+                 [this, group, instance, replica, requested_at = event_loop::now(),
+                  confirming_replicas = std::move(confirming_replicas),
+                  on_checked = std::move(on_checked)](
+                     const std::optional<replication_status>& status) mutable {
+                     const auto current_primary = m_directory.primary(group);
+                     if (!status || !established_in(group).is_established(replica)) {
+                         request_confirmation(group, instance, std::move(confirming_replicas),
+                                              std::move(on_checked));
+                         return;
+                     }
+                     if (!current_primary || current_primary->instance != instance ||
+                         !confirms_leadership(*status, *current_primary)) {
+                         on_checked(false);
+                         return;
+                     }
+                     const bool vouched = vouches(group, replica, *status, requested_at);
+                     if (!vouched && !confirming_replicas.empty()) {
+                         request_confirmation(group, instance, std::move(confirming_replicas),
+                                              std::move(on_checked));
+                         return;
+                     }
+                     require_undoubted_contact(group, instance, vouched, std::move(on_checked));
+                 });
 }
 
 // The instances in doubt are asked last: restoring contact reads the claim that names them.
 void upstream_router::require_undoubted_contact(const std::string& group,
-                                                const std::string& instance,
+                                                const std::string& instance, bool vouched,
                                                 std::function<void(bool)> on_checked) {
-    require_contact(group, [this, group, instance, on_checked = std::move(on_checked)](bool holds) {
+    auto on_contact = [this, group, instance, on_checked = std::move(on_checked)](bool holds) {
         if (holds) {
             ask_those_in_doubt(group, instance, on_checked);
         } else {
             on_checked(false);
         }
-    });
+    };
+    if (vouched) {
+        require_contact(group, std::move(on_contact));
+    } else {
+        prove_leadership(group, std::move(on_contact));
+    }
 }
 
 // An instance that may begin to lead at any time has to answer that it doesn't.
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -88,13 +88,19 @@
         tracker.record_replica(instance, status.term);
     }
     const auto primary = m_directory.primary(listed->group);
-    if (primary && confirms_leadership(status, *primary)) {
-        established_replicas& replicas = established_in(listed->group);
-        replicas.record_answer(instance, requested_at);
-        if (replicas.is_established(instance)) {
-            contact_with(listed->group)
-                .contact.record_confirmation(requested_at, event_loop::now());
-        }
+    if (!primary || !confirms_leadership(status, *primary)) {
+        return;
+    }
+    group_contact& state = contact_with(listed->group);
+    const time_point now = event_loop::now();
+    if (!state.processes.covers(status, requested_at, now)) {
+        read_claim_for_processes(listed->group);
+        return;
+    }
+    established_replicas& replicas = established_in(listed->group);
+    replicas.record_answer(instance, requested_at);
+    if (replicas.is_established(instance)) {
+        state.contact.record_confirmation(requested_at, now);
     }
 }
 
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -4,6 +4,7 @@
 
 #include "bronzeplank/established_replicas.hpp"
 #include "bronzeplank/failover.hpp"
+#include "bronzeplank/process_continuity.hpp"
 #include "bronzeplank/unbroken_contact.hpp"
 #include "session/fleet.hpp"
 #include "session/fleet_directory.hpp"
@@ -39,7 +40,7 @@
     std::function<bool()> platform_reachable;
     /// Reads the group's claim; empty if the platform doesn't answer. `complete` is set only if the
     /// claim covers all promotions up to now; its promoted term is `any_term` if the members can't
-    /// tell either.
+    /// tell either. `finished` is also set if its holder can't act on it any more.
     std::function<void(const std::string& group,
                        std::function<void(const std::optional<failover_claim>&)>)>
         read_claim;
@@ -61,6 +62,11 @@
 /// primary again. Therefore a check passes only while the contact with the group is unbroken; it is
 /// restored once all members confirm the primary, or the platform has no newer claim.
 ///
+/// A replica that starts again under its id forgets its pause. Therefore its answers count only on
+/// a connection that was open before any claim that may be acted on was written
+/// (process_continuity). After a connection has been opened anew, the claim is read once to find
+/// out.
+///
 /// Commit confirmation: while a group has a new replica, or no established one has answered lately,
 /// or if the commit was delayed, it is acknowledged only once an established replica is seen to
 /// have received it, and the primary still led then. While the promotion of another instance may
@@ -139,10 +145,10 @@
     /// Notes which instances are new; to be called several times a second.
     void observe_instances(time_point now);
 
-    /// Whether every host that may replace the group's primary knows the instance.
-    bool is_established(const std::string& group, const std::string& instance) {
-        return established_in(group).is_established(instance);
-    }
+    /// Whether every host that may replace the group's primary knows the instance, and has paused
+    /// the process that has just answered if it is replacing the primary now.
+    bool vouches(const std::string& group, const std::string& instance,
+                 const replication_status& answer, time_point requested_at);
 
     /// The pool status of an instance as its gateway reports it, or as this host sees it.
     pool_status status_of(const upstream_instance& instance) const {
@@ -190,6 +196,11 @@
         /// term.
         std::optional<time_point> superseded_since;
         time_point superseded_at{};
+        /// Which processes' answers count; independent of the primary.
+        process_continuity processes;
+        /// The claim is being read for answers on new connections.
+        bool reading_claim = false;
+        time_point next_claim_read_at{};
         /// Checks that the running restoration serves, and those that came too late for it.
         std::vector<std::function<void(bool)>> served;
         std::vector<std::function<void(bool)>> waiting;
@@ -227,11 +238,15 @@
     established_replicas& established_in(const std::string& group, time_point now);
     group_contact& contact_with(const std::string& group);
     void keep_contact(const std::string& group, time_point now);
+    void note_claim(const std::string& group, const std::optional<failover_claim>& claim,
+                    const known_primary& primary, time_point read_at);
     void note_superseded(const std::string& group, bool superseded);
     void require_contact(const std::string& group, std::function<void(bool)> on_checked);
+    void prove_leadership(const std::string& group, std::function<void(bool)> on_checked);
+    void read_claim_for_processes(const std::string& group);
     void restore_contact(const std::string& group);
     void ask_members(const restoration& asked);
-    void finish_asking(const restoration& asked, bool all_confirm);
+    void finish_asking(const restoration& asked, bool all_confirm, bool any_established);
     void restore_by_members(restoration asked);
     void finish_restoring(const std::string& group, const known_primary& primary, bool proved,
                           time_point proved_at);
@@ -243,11 +258,12 @@
     bool is_received(const std::string& group, const std::string& primary,
                      const commit_request& request) const;
     void record_received(const std::string& group, const known_primary& primary,
-                         const std::string& replica, const replication_status& status);
+                         const std::string& replica, const replication_status& status,
+                         time_point requested_at);
     void acknowledge_in_contact(const std::string& group, const std::string& instance,
                                 commit_request request);
     void require_undoubted_contact(const std::string& group, const std::string& instance,
-                                   std::function<void(bool)> on_checked);
+                                   bool vouched, std::function<void(bool)> on_checked);
     void ask_those_in_doubt(const std::string& group, const std::string& instance,
                             const std::function<void(bool)>& on_checked);
     void start_commit_round(const std::string& group, const std::string& instance);
--- a/test/failover_walks_test.cpp
+++ b/test/failover_walks_test.cpp
@@ -20,6 +20,23 @@
     }
 }
 
+// A replica crashed after its pause had been verified, started again without it, and commits of the
+// old primary were acknowledged with it.
+TEST_CASE("a paused replica starts again while another one is promoted") {
+    const std::uint64_t seed = GENERATE(20'023'785, 20'026'329);
+    const auto lost_without = [&](const model::omitted_rules& omitted) {
+        failover_model walked(seed, omitted);
+        walked.run(model::steps_per_walk);
+        return walked.lost();
+    };
+    SECTION("commits are lost if its answers count on its new connection") {
+        CHECK(lost_without({omitted_rule::cover_processes}) > 0);
+    }
+    SECTION("none is lost otherwise") {
+        CHECK(lost_without({}) == 0);
+    }
+}
+
 TEST_CASE("the walks notice") {
     const auto found = [](const model::omitted_rules& omitted, auto broken) {
         return model::any_walk_breaks(omitted, store_behavior::keeps_all, broken);
--- a/test/model/failover_instances.hpp
+++ b/test/model/failover_instances.hpp
@@ -202,7 +202,7 @@
         if (instance == nullptr || !m_links.answers(domain, instance->domain)) {
             return std::nullopt;
         }
-        return instance->status();
+        return reported_to(domain, id, *instance);
     }
 
     /// Sends a commit to an instance. Its answer comes with take_commits().
@@ -240,6 +240,7 @@
     void drop_calls(int domain) {
         std::erase_if(m_answers, [&](const auto& one) { return one.command.domain == domain; });
         std::erase_if(m_commits, [&](const auto& one) { return one.domain == domain; });
+        std::erase_if(m_connections, [&](const auto& one) { return one.first.first == domain; });
     }
 
     /// The successor leads some time later, unless the platform refuses the call.
@@ -296,6 +297,23 @@
         time_point effective_at;
     };
 
+    /// A connection ends with the process that it was opened to.
+    struct open_connection {
+        std::int64_t born = 0;
+        time_point since;
+    };
+
+    replication_status reported_to(int domain, const std::string& id,
+                                   const instance_state& instance) {
+        open_connection& connection = m_connections[{domain, id}];
+        if (connection.born != instance.born) {
+            connection = {instance.born, m_now};
+        }
+        replication_status status = instance.status();
+        status.connected_for = m_now - connection.since;
+        return status;
+    }
+
     void replace(instance_state& instance) {
         if (instance.running && !instance.leaving) {
             instance.leaving = true;
@@ -362,7 +380,8 @@
             if (instance != nullptr) {
                 execute(command, *instance);
                 if (m_links.linked(instance->domain, command.domain)) {
-                    m_answers.push_back({command, m_now + draw_delay(), instance->status()});
+                    m_answers.push_back({command, m_now + draw_delay(),
+                                         reported_to(command.domain, command.instance, *instance)});
                 }
             }
             return true;
@@ -447,6 +466,7 @@
     std::map<std::string, instance_state> m_instances;
     std::map<std::string, std::int64_t> m_listed;
     std::map<std::pair<int, std::string>, time_point> m_last_arrival;
+    std::map<std::pair<int, std::string>, open_connection> m_connections;
     std::vector<instance_command> m_commands;
     std::vector<command_answer> m_answers;
     std::vector<sent_commit> m_commits;
--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -11,6 +11,7 @@
 #include "bronzeplank/failover.hpp"
 #include "bronzeplank/group_roster.hpp"
 #include "bronzeplank/primary_tracker.hpp"
+#include "bronzeplank/process_continuity.hpp"
 #include "model/contact_tracker.hpp"
 #include "model/failover_instances.hpp"
 #include "model/failover_links.hpp"
@@ -53,7 +54,9 @@
     /// The claim's revision alone is the fencing token.
     order_tokens_by_era,
     /// The group's members aren't stored: a host that has started lately knows the listed ones.
-    store_members
+    store_members,
+    /// A replica counts also on a connection that was opened while a claim was acted on.
+    cover_processes
 };
 
 using omitted_rules = std::set<omitted_rule>;
@@ -188,6 +191,7 @@
         group_roster roster;
         established_replicas established;
         contact_tracker contact;
+        process_continuity processes;
         primary_tracker tracker;
         /// The last known primary, listed or not; of term 0 if only the platform names it.
         known_primary primary;
@@ -381,7 +385,9 @@
             seen[id] = {m_group.is_leaving(id), status.has_value()};
             if (status) {
                 learn(own, id, *status, m_now);
-                own.roster.record_answer(id, *status, own.established.is_established(id), m_now);
+                const bool vouches =
+                    own.established.is_established(id) && is_covered(own, *status, m_now);
+                own.roster.record_answer(id, *status, vouches, m_now);
             }
         }
         own.roster.update(seen, m_now);
@@ -395,6 +401,7 @@
             }
         }
         update_primary(own);
+        note_unclaimed(domain, own);
         restore_contact(domain, own);
     }
 
@@ -423,7 +430,7 @@
             own.tracker.record_replica(id, status.term);
         }
         update_primary(own);
-        if (confirms_leadership(status, own.primary)) {
+        if (confirms_leadership(status, own.primary) && is_covered(own, status, requested_at)) {
             own.established.record_answer(id, requested_at);
             if (may_vouch(own, id)) {
                 own.contact.record_answer(own.primary, requested_at, m_now);
@@ -431,6 +438,24 @@
         }
     }
 
+    bool is_covered(const host& own, const replication_status& status,
+                    time_point requested_at) const {
+        return omits(omitted_rule::cover_processes) ||
+               own.processes.covers(status, requested_at, m_now);
+    }
+
+    // A host reads the claim whenever answers on new connections don't count.
+    void note_unclaimed(int domain, host& own) const {
+        if (!m_links.reaches_store(domain) || omits(omitted_rule::cover_processes)) {
+            return;
+        }
+        see_claim(own);
+        if (covers_promotions() && !may_be_held(own) &&
+            m_store.claim().promoted_term <= own.primary.term) {
+            own.processes.record_unclaimed(m_now);
+        }
+    }
+
     bool in_contact(host& own) const {
         return omits(omitted_rule::unbroken_contact) || own.contact.is_unbroken(own.primary, m_now);
     }
@@ -472,7 +497,9 @@
                std::all_of(members.begin(), members.end(), [&](const std::string& id) {
                    const auto status = m_group.ask(domain, id);
                    return id == own.primary.instance ||
-                          (status && confirms_leadership(*status, own.primary));
+                          (status && confirms_leadership(*status, own.primary) &&
+                           (!own.established.may_be_asked(id, m_now) ||
+                            is_covered(own, *status, m_now)));
                });
     }
 
@@ -608,7 +635,8 @@
         for (const auto& [id, born] : own.listed) {
             const bool vouches = position ? may_acknowledge_with(own, id) : may_vouch(own, id);
             const auto status = vouches ? m_group.ask(domain, id) : std::nullopt;
-            if (status && confirms_leadership(*status, own.primary) &&
+            if (status && is_covered(own, *status, m_now) &&
+                confirms_leadership(*status, own.primary) &&
                 (!position || status->received >= *position)) {
                 return true;
             }
--- a/test/model/single_host.hpp
+++ b/test/model/single_host.hpp
@@ -55,6 +55,8 @@
     // Used by this fixture only; the tests of a program run one after another.
     fleet peers{loop, {"host", "a", {"127.0.0.1", 7590}, {}}, directory, idle_callbacks()};
     std::map<std::string, replication_status> reports;
+    /// When the connection to an instance was opened, of those that tell.
+    std::map<std::string, time_point> connected_since;
     std::map<std::string, pool_status> pools;
     std::vector<std::string> command_targets;
     std::vector<replication_command> commands;
@@ -96,10 +98,7 @@
             if (!ignored_commands.contains({id, command})) {
                 obey(id, command, term);
             }
-            const auto report = [this, id, on_status] {
-                const auto found = reports.find(id);
-                on_status(found == reports.end() ? std::nullopt : std::optional(found->second));
-            };
+            const auto report = [this, id, on_status] { on_status(report_of(id)); };
             if (defer_reports) {
                 deferred_reports.push_back(report);
             } else {
@@ -120,6 +119,19 @@
                              [](const std::string&, request_class, std::string_view, duration) {}};
     }
 
+    /// What the instance answers to a status request now.
+    std::optional<replication_status> report_of(const std::string& id) const {
+        const auto found = reports.find(id);
+        if (found == reports.end()) {
+            return std::nullopt;
+        }
+        replication_status status = found->second;
+        if (const auto since = connected_since.find(id); since != connected_since.end()) {
+            status.connected_for = event_loop::now() - since->second;
+        }
+        return status;
+    }
+
     /// Changes the report of an instance that takes the command.
     void obey(const std::string& id, replication_command command, std::uint64_t term) {
         const auto found = reports.find(id);
