Check the leadership of groups whose commits need no replica

Cause: that no replica has to receive a commit was taken for a proof that the primary leads (commits_without_replicas() in require_contact()). Meant for groups of one instance, it held for each group of this kind. Change: three questions are kept apart: whether anybody else can lead (not in a group of one member), whether the primary still leads (replicas in contact, or else the claim, for each strict read and each acknowledgement), and whether a replica has the commit (only with SyncReplicas). A group whose replicas are gone is served on the word of the claim, read at most ten times a second. Verified positions rest on the same check.

--- a/src/session/commit_confirmation.cpp
+++ b/src/session/commit_confirmation.cpp
@@ -38,10 +38,7 @@
 
 bool upstream_router::commits_need_confirmation(const std::string& group,
                                                 const std::string& instance, duration took) {
-    const std::set<std::string> running = members_of(group);
-    const bool is_sole = std::all_of(running.begin(), running.end(),
-                                     [&](const std::string& id) { return id == instance; });
-    if (commits_without_replicas(group) || is_sole) {
+    if (is_sole_member(group, instance)) {
         return false;
     }
     if (!others_in_doubt(group, instance).empty()) {
@@ -123,6 +120,22 @@
     });
 }
 
+// A commit that no replica has to receive may be acknowledged if the primary led when it was
+// committed: the successor's term then begins later.
+void upstream_router::confirm_leading(const std::string& group, const known_primary& primary,
+                                      std::function<void(bool)> on_confirmed) {
+    const bool is_sole = is_sole_member(group, primary.instance);
+    if (is_sole || (is_proved_lately(group, primary.instance) &&
+                    others_in_doubt(group, primary.instance).empty())) {
+        on_confirmed(true);
+        return;
+    }
+    check_leadership(group, primary.instance,
+                     [this, group, primary, on_confirmed = std::move(on_confirmed)](bool leads) {
+                         on_confirmed(leads && m_directory.primary(group) == primary);
+                     });
+}
+
 void upstream_router::confirm_commit(const std::string& group, const std::string& instance,
                                      const log_position& position, duration took,
                                      std::function<void(bool)> on_confirmed) {
@@ -133,6 +146,10 @@
         return;
     }
     contact_with(group).used_at = event_loop::now();
+    if (commits_without_replicas(group)) {
+        confirm_leading(group, {instance, position.term}, std::move(on_confirmed));
+        return;
+    }
     if (!commits_need_confirmation(group, instance, took)) {
         on_confirmed(true);
         return;
--- a/src/session/leadership_checks.cpp
+++ b/src/session/leadership_checks.cpp
@@ -12,18 +12,14 @@
 
 // Checks fail at once for this long after one has failed, so that they don't flood the platform.
 constexpr std::chrono::milliseconds restoration_pause{100};
+// A promotion is requested after the claim that names it was stored, and takes some hundred
+// milliseconds: for this long after a claim without it was read, it has not taken effect.
+constexpr std::chrono::milliseconds claim_proof_lifetime{100};
 // Contact with a group is kept for this long after the last check.
 constexpr std::chrono::seconds contact_retention{3};
 // A primary is superseded only while its work is still being checked.
 constexpr std::chrono::milliseconds superseded_retention{1000};
 
-bool has_replicas(const fleet_directory& directory, const std::string& group,
-                  const std::string& primary) {
-    const upstream_list& members = directory.members(group);
-    return std::any_of(members.begin(), members.end(),
-                       [&](const auto& entry) { return entry.first != primary; });
-}
-
 /// \param claim the claim that proved it; nullptr if all members did
 void log_restored(const std::string& group, const known_primary& primary,
                   const failover_claim* claim) {
@@ -38,7 +34,8 @@
 
 } // namespace
 
-// If commits need a replica, an instance that is no longer listed may have been promoted.
+// Whether the group's commits are acknowledged by the primary alone. Its replicas may be promoted
+// all the same.
 bool upstream_router::commits_without_replicas(const std::string& group) const {
     const auto& configuration = m_directory.configuration();
     if (!configuration) {
@@ -48,6 +45,22 @@
     return policy != configuration->groups.end() && policy->second.sync_replicas == 0;
 }
 
+// Whether nobody else can be promoted, as far as this host knows.
+bool upstream_router::is_sole_member(const std::string& group, const std::string& instance) const {
+    const std::set<std::string> members = members_of(group);
+    return std::all_of(members.begin(), members.end(),
+                       [&](const std::string& id) { return id == instance; });
+}
+
+// Whether replicas, or a claim, have shown lately that the primary still leads.
+bool upstream_router::is_proved_lately(const std::string& group, const std::string& primary) {
+    const time_point now = event_loop::now();
+    const group_contact& state = contact_with(group);
+    const bool by_replicas =
+        established_in(group).in_contact(primary, now) && state.contact.unbroken(now);
+    return by_replicas || now - state.proved_by_claim_at <= claim_proof_lifetime;
+}
+
 established_replicas& upstream_router::established_in(const std::string& group) {
     return established_in(group, event_loop::now());
 }
@@ -77,6 +90,7 @@
     if (state.primary != primary) {
         state.primary = primary;
         state.contact.reset();
+        state.proved_by_claim_at = time_point{};
         state.superseded_since.reset();
     }
     return state;
@@ -112,7 +126,7 @@
     group_contact& state = contact_with(group);
     const time_point now = event_loop::now();
     state.used_at = now;
-    if (commits_without_replicas(group) || state.contact.unbroken(now)) {
+    if (state.contact.unbroken(now)) {
         on_checked(true);
         return;
     }
@@ -156,6 +170,7 @@
         if (newer || (claim && claim->complete)) {
             if (!newer) {
                 log_restored(next.group, next.primary, &*claim);
+                note_proof(next.group, next.primary, next.requested_at);
             }
             next.on_finished(!newer, next.requested_at);
         } else {
@@ -198,6 +213,14 @@
            contact_with(group).processes.covers(answer, requested_at, event_loop::now());
 }
 
+void upstream_router::note_proof(const std::string& group, const known_primary& primary,
+                                 time_point read_at) {
+    group_contact& state = contact_with(group);
+    if (state.primary == primary) {
+        state.proved_by_claim_at = std::max(state.proved_by_claim_at, read_at);
+    }
+}
+
 void upstream_router::note_superseded(const std::string& group, bool superseded) {
     group_contact& state = contact_with(group);
     if (!superseded) {
@@ -413,10 +436,21 @@
             });
         return;
     }
+    const bool without_replicas = commits_without_replicas(group);
+    if (without_replicas && is_sole_member(group, instance)) {
+        on_checked(true);
+        return;
+    }
+    if (without_replicas && confirming_replicas.empty()) {
+        prove_without_replicas(group, instance, std::move(on_checked));
+        return;
+    }
     if (confirming_replicas.empty()) {
-        const bool sole_instance =
-            !has_replicas(m_directory, group, instance) && commits_without_replicas(group);
-        on_checked(sole_instance);
+        on_checked(false);
+        return;
+    }
+    if (without_replicas && !established_in(group).in_contact(instance, event_loop::now())) {
+        prove_without_replicas(group, instance, std::move(on_checked));
         return;
     }
     if (!contact_with(group).contact.unbroken(event_loop::now())) {
@@ -451,6 +485,17 @@
                  });
 }
 
+// The replicas of a group whose commits don't need them may be gone, while its primary goes on.
+// Then only the claim shows whether one of them was promoted before.
+void upstream_router::prove_without_replicas(const std::string& group, const std::string& instance,
+                                             std::function<void(bool)> on_checked) {
+    if (is_proved_lately(group, instance)) {
+        ask_those_in_doubt(group, instance, on_checked);
+    } else {
+        require_undoubted_contact(group, instance, false, std::move(on_checked));
+    }
+}
+
 // The instances in doubt are asked last: restoring contact reads the claim that names them.
 void upstream_router::require_undoubted_contact(const std::string& group,
                                                 const std::string& instance, bool vouched,
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -67,6 +67,10 @@
 /// (process_continuity). After a connection has been opened anew, the claim is read once to find
 /// out.
 ///
+/// A group whose commits need no replica may have lost its replicas and go on. If none of them has
+/// answered lately, the check rests on the claim alone, and so does the acknowledgement of a
+/// commit. A group of one instance needs no check.
+///
 /// Commit confirmation: while a group has a new replica, or no established one has answered lately,
 /// or if the commit was delayed, it is acknowledged only once an established replica is seen to
 /// have received it, and the primary still led then. While the promotion of another instance may
@@ -196,6 +200,8 @@
         /// term.
         std::optional<time_point> superseded_since;
         time_point superseded_at{};
+        /// When the newest claim was requested that has shown that the primary leads.
+        time_point proved_by_claim_at{};
         /// Which processes' answers count; independent of the primary.
         process_continuity processes;
         /// The claim is being read for answers on new connections.
@@ -240,6 +246,7 @@
     void keep_contact(const std::string& group, time_point now);
     void note_claim(const std::string& group, const std::optional<failover_claim>& claim,
                     const known_primary& primary, time_point read_at);
+    void note_proof(const std::string& group, const known_primary& primary, time_point read_at);
     void note_superseded(const std::string& group, bool superseded);
     void require_contact(const std::string& group, std::function<void(bool)> on_checked);
     void prove_leadership(const std::string& group, std::function<void(bool)> on_checked);
@@ -260,6 +267,8 @@
     void record_received(const std::string& group, const known_primary& primary,
                          const std::string& replica, const replication_status& status,
                          time_point requested_at);
+    void confirm_leading(const std::string& group, const known_primary& primary,
+                         std::function<void(bool)> on_confirmed);
     void acknowledge_in_contact(const std::string& group, const std::string& instance,
                                 commit_request request);
     void require_undoubted_contact(const std::string& group, const std::string& instance,
@@ -277,6 +286,10 @@
     void record_status(const std::string& instance, const replication_status& status,
                        time_point requested_at);
     bool commits_without_replicas(const std::string& group) const;
+    bool is_sole_member(const std::string& group, const std::string& instance) const;
+    bool is_proved_lately(const std::string& group, const std::string& primary);
+    void prove_without_replicas(const std::string& group, const std::string& instance,
+                                std::function<void(bool)> on_checked);
     bool is_stored(const std::string& group, const std::string& instance) const;
     std::vector<std::string> confirming_replicas(const std::string& group,
                                                  const std::string& primary);
