Refuse writes that couldn't be acknowledged before they run

What callers saw: without SyncReplicas, in a zone that is cut off together with the primary, each write ran there and was answered with INDOUBT, so that it couldn't be repeated elsewhere. Cause: the leadership check came after the write only. With SyncReplicas such writes hang at the instance, and are refused once the pool has seen one stall; without, the primary commits at once. Change: unless a check has succeeded lately, the gateway of such a group checks the primary before it runs a single write or the first statement of a transaction that may write, and refuses it as not run if the check fails. Other groups: no change.

--- a/src/session/checked_answer.hpp
+++ b/src/session/checked_answer.hpp
@@ -67,6 +67,11 @@
     return !work.read_only_work && (ends_transaction || !work.transaction);
 }
 
+/// Whether the work is the first that may change data, so that refusing it leaves no trace.
+inline bool begins_changes(const upstream_work& work) {
+    return !work.read_only_work && (work.opens_transaction || !work.transaction);
+}
+
 /// Returns a handler that delivers a commit's answer once the commit is confirmed. A commit that
 /// isn't is delivered as `unanswered`: it took effect, but may be lost.
 inline answer_handler with_commit_confirmation(const commit_confirmation& confirm,
--- a/src/session/commit_confirmation.cpp
+++ b/src/session/commit_confirmation.cpp
@@ -120,6 +120,11 @@
     });
 }
 
+bool upstream_router::can_acknowledge(const std::string& group, const std::string& instance) {
+    return !commits_without_replicas(group) || is_sole_member(group, instance) ||
+           is_proved_lately(group, instance);
+}
+
 // A commit that no replica has to receive may be acknowledged if the primary led when it was
 // committed: the successor's term then begins later.
 void upstream_router::confirm_leading(const std::string& group, const known_primary& primary,
--- a/src/session/gateway.hpp
+++ b/src/session/gateway.hpp
@@ -23,12 +23,15 @@
     /// \param find returns the current entry of an instance; null if it is not listed
     /// \param limits returns the limits of the pool for the instance
     /// \param is_primary whether the instance is its group's primary
+    /// \param can_acknowledge whether a commit at the instance could be acknowledged now, without a
+    /// leadership check
     /// \param watched whether this host probes the instance even without work for it
     struct environment {
         std::function<const upstream_instance*(const std::string&)> find;
         std::function<pool_limits(const upstream_instance&)> limits;
         std::function<bool(const std::string&)> watched;
         std::function<bool(const std::string&)> is_primary;
+        std::function<bool(const std::string& group, const std::string& instance)> can_acknowledge;
         leadership_check check_leadership;
         commit_confirmation confirm_commit;
         /// Called when an instance has become reachable or unreachable.
@@ -41,17 +44,11 @@
     }
 
     void run(upstream_work work, answer_handler on_answer) {
-        upstream_pool<Connection>* pool = pool_for(work.instance);
-        on_answer = with_load(work.instance, std::move(on_answer));
-        if (pool == nullptr) {
-            on_answer({upstream_result::unsent, {}, {}, {}});
-            return;
-        }
-        if (commits_changes(work)) {
-            on_answer = with_commit_confirmation(m_environment.confirm_commit, work.group,
-                                                 work.instance, std::move(on_answer));
+        if (begins_changes(work) && !m_environment.can_acknowledge(work.group, work.instance)) {
+            run_if_leading(std::move(work), std::move(on_answer));
+        } else {
+            start(std::move(work), std::move(on_answer));
         }
-        pool->run(std::move(work), std::move(on_answer));
     }
 
     void end_transaction(const std::string& instance, const transaction_key& key) {
@@ -132,6 +129,41 @@
     // A pool that has not been used for this long is closed unless its instance is watched.
     static constexpr std::chrono::seconds unused_pool_timeout{2};
 
+    void start(upstream_work work, answer_handler on_answer) {
+        upstream_pool<Connection>* pool = pool_for(work.instance);
+        on_answer = with_load(work.instance, std::move(on_answer));
+        if (pool == nullptr) {
+            on_answer({upstream_result::unsent, {}, {}, {}});
+            return;
+        }
+        if (commits_changes(work)) {
+            on_answer = with_commit_confirmation(m_environment.confirm_commit, work.group,
+                                                 work.instance, std::move(on_answer));
+        }
+        pool->run(std::move(work), std::move(on_answer));
+    }
+
+    // A change that could not be acknowledged isn't begun: its caller would be told that the
+    // outcome is unknown, and might not repeat it.
+    void run_if_leading(upstream_work work, answer_handler on_answer) {
+        const std::string group = work.group;
+        const std::string instance = work.instance;
+        m_environment.check_leadership(
+            group, instance,
+            [this, work = std::move(work), on_answer = std::move(on_answer),
+             requested_at = event_loop::now()](bool leads) {
+                if (!leads) {
+                    on_answer({upstream_result::not_primary, {}, {}, {}});
+                    return;
+                }
+                upstream_work checked = work;
+                const duration waited = event_loop::now() - requested_at;
+                checked.objective_left -= waited;
+                checked.time_left -= waited;
+                start(std::move(checked), on_answer);
+            });
+    }
+
     static void add_counts(queue_totals& counts, const upstream_pool<Connection>& pool) {
         counts.queued += pool.queued_count();
         counts.refused += pool.refused_count();
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -138,6 +138,11 @@
     /// members.
     void prove_by_members(const std::string& group, std::function<void(bool)> on_proved);
 
+    /// Whether nothing shows that a commit at the instance could not be acknowledged. False for a
+    /// group whose commits need no replica while its primary's leadership isn't proved: the
+    /// instance would commit, and confirm_commit() might fail.
+    bool can_acknowledge(const std::string& group, const std::string& instance);
+
     /// Checks that the primary's commits up to `position` outlast a failover. Calls `on_confirmed`
     /// immediately unless an established replica has to be asked; with false if none has received
     /// the position in time, or the instance may have been replaced.
--- a/test/session/unreplicated_commits_test.cpp
+++ b/test/session/unreplicated_commits_test.cpp
@@ -86,6 +86,7 @@
         test.platform_reachable = false;
         test.wait_for_contact_to_end();
         REQUIRE_FALSE(test.serves());
+        REQUIRE_FALSE(test.host.router.can_acknowledge("g", "p"));
         SECTION("until the cut ends and the claim names no successor") {
             test.platform_reachable = true;
             test.wait_for_contact_to_end();
@@ -103,6 +104,7 @@
         test.host.commands.clear();
         REQUIRE(test.acknowledges());
         REQUIRE(test.host.commands.empty());
+        REQUIRE(test.host.router.can_acknowledge("g", "p"));
     }
     SECTION("is served when its replicas are gone: the claim shows that the primary leads") {
         test.lose_replica();
