Answer statements that wait for memory when a host stops

Cause: a line that waits for the memory budget has not been given to its session, so the session passed for idle, and its input was dropped. Such lines are served as memory is released; at the end of the grace they are answered as not run.

--- a/test/platform/caller_listener_test.cpp
+++ b/test/platform/caller_listener_test.cpp
@@ -250,6 +250,23 @@
         REQUIRE(test.next_answer() == "ROW row\r\nCOMPLETE signature\r\nREADY I -\r\n");
         REQUIRE(test.guard.budget().used(memory_use::statements) == 0);
     }
+    // It had been read, and was dropped without an answer.
+    SECTION("is served although the host stops meanwhile") {
+        test.listener.end_idle_sessions();
+        test.listener.end_transactions();
+        REQUIRE_FALSE(test.until_closed());
+        test.guard.remove(other);
+        REQUIRE(test.host.run_until([&] { return !test.host.sent.empty(); }));
+        test.host.answer(upstream_result::done);
+        REQUIRE(test.next_answer() == "ROW row\r\nCOMPLETE signature\r\nREADY I -\r\n");
+        REQUIRE(test.until_closed());
+    }
+    SECTION("is told at last that the statement has not run, if the host stops") {
+        test.listener.end_all_sessions();
+        REQUIRE(test.next_answer() == "ERROR BUSY the host is stopping\r\nREADY I -\r\n");
+        REQUIRE(test.until_closed());
+        REQUIRE(test.host.sent.empty());
+    }
 }
 
 // 256 values of 1 MiB each were kept for a session.
