Answer statements that were sent ahead when a host stops

Cause: an answer in state I closed the session and dropped its input. Lines behind a running statement are answered as not run at the end of the grace.

--- a/test/platform/caller_listener_test.cpp
+++ b/test/platform/caller_listener_test.cpp
@@ -207,6 +207,36 @@
     }
 }
 
+// A statement that had been received behind a running one was dropped without an answer.
+TEST_CASE("a host that stops and has received a statement ahead") {
+    listener_fixture test;
+    const std::string answer = "ROW row\r\nCOMPLETE signature\r\nREADY I -\r\n";
+    test.start("READ 1a4");
+    test.caller.send("QUERY 2 READ 1a5\r\nQUERY 3 READ 1a6\r\nQUERY 4 RE");
+    REQUIRE(test.host.run_until([&] { return test.guard.budget().used(memory_use::input) > 40; }));
+
+    SECTION("answers it after the one before, then closes") {
+        test.listener.end_idle_sessions();
+        for (const char* text : {"READ 1a4", "READ 1a5", "READ 1a6"}) {
+            REQUIRE(test.host.run_until([&] { return !test.host.sent.empty(); }));
+            REQUIRE(test.host.sent.front().work.request.text == text);
+            test.host.answer(upstream_result::done);
+            REQUIRE(test.next_answer() == answer);
+        }
+        REQUIRE(test.until_closed());
+    }
+    SECTION("at last answers that it has not run") {
+        test.listener.end_idle_sessions();
+        test.listener.end_all_sessions();
+        const std::string refused = "ERROR BUSY the host is stopping\r\nREADY I -\r\n";
+        const std::string all =
+            "ERROR ABORTED the host is stopping\r\nREADY I -\r\n" + refused + refused;
+        REQUIRE(test.until_closed());
+        REQUIRE(test.caller.take_received() == all);
+        REQUIRE(test.host.sent.size() == 1);
+    }
+}
+
 // Callers that never completed a line held their sessions for ever.
 TEST_CASE("a caller that is late with a line") {
     listener_fixture test;
