--- a/test/platform/caller_listener_test.cpp
+++ b/test/platform/caller_listener_test.cpp
@@ -299,6 +299,37 @@
     }
 }
 
+// They were resumed in the order of their sessions' addresses, so that some waited for seconds
+// while others were served again and again.
+TEST_CASE("callers whose statements don't fit into the budget are served in turn") {
+    listener_fixture test;
+    std::vector<std::unique_ptr<line_caller>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<line_caller>(test.host.loop));
+        callers.back()->send("START strict key\r\n");
+        REQUIRE(test.host.run_until([&] { return callers.back()->received_bytes() > 0; }));
+    }
+    const auto other = test.guard.add();
+    test.guard.set(other, memory_use::statements, 6U << 20U);
+    const std::string data(max_line_bytes - 100, 'x');
+    const std::vector<std::string> order{"WRITE 2 ", "WRITE 0 ", "WRITE 3 ", "WRITE 1 "};
+    for (const auto& text : order) {
+        const auto index = static_cast<std::size_t>(text.at(6) - '0');
+        const std::size_t before = test.guard.budget().used(memory_use::input);
+        callers.at(index)->send("QUERY 1 " + text + data + "\r\n");
+        REQUIRE(test.host.run_until(
+            [&] { return test.guard.budget().used(memory_use::input) >= before + data.size(); }));
+    }
+    test.guard.remove(other);
+    std::vector<std::string> served;
+    while (served.size() < order.size()) {
+        REQUIRE(test.host.run_until([&] { return !test.host.sent.empty(); }));
+        served.push_back(test.host.sent.front().work.request.text.substr(0, 8));
+        test.host.answer(upstream_result::done);
+    }
+    REQUIRE(served == order);
+}
+
 // 256 values of 1 MiB each were kept for a session.
 TEST_CASE("a session whose values are too large") {
     listener_fixture test;
