Leadership checks: one branch for groups whose commits need no replica

Cause: the order of the conditions in request_confirmation() hid which of them belong to such groups, and a bool chose between contact and proof. Change: names and branches only; no decision changes.

--- a/src/session/commit_confirmation.cpp
+++ b/src/session/commit_confirmation.cpp
@@ -127,11 +127,12 @@
 
 // A commit that no replica has to receive may be acknowledged if the primary led when it was
 // committed: the successor's term then begins later.
-void upstream_router::confirm_leading(const std::string& group, const known_primary& primary,
-                                      std::function<void(bool)> on_confirmed) {
-    const bool is_sole = is_sole_member(group, primary.instance);
-    if (is_sole || (is_proved_lately(group, primary.instance) &&
-                    others_in_doubt(group, primary.instance).empty())) {
+void upstream_router::confirm_unreplicated_commit(const std::string& group,
+                                                  const known_primary& primary,
+                                                  std::function<void(bool)> on_confirmed) {
+    const bool undoubted = others_in_doubt(group, primary.instance).empty();
+    if (is_sole_member(group, primary.instance) ||
+        (undoubted && is_proved_lately(group, primary.instance))) {
         on_confirmed(true);
         return;
     }
@@ -152,7 +153,7 @@
     }
     contact_with(group).used_at = event_loop::now();
     if (commits_without_replicas(group)) {
-        confirm_leading(group, {instance, position.term}, std::move(on_confirmed));
+        confirm_unreplicated_commit(group, {instance, position.term}, std::move(on_confirmed));
         return;
     }
     if (!commits_need_confirmation(group, instance, took)) {
--- a/src/session/leadership_checks.cpp
+++ b/src/session/leadership_checks.cpp
@@ -179,6 +179,7 @@
     });
 }
 
+// Records what the claim shows of the group's processes.
 void upstream_router::note_claim(const std::string& group,
                                  const std::optional<failover_claim>& claim,
                                  const known_primary& primary, time_point read_at) {
@@ -189,7 +190,7 @@
 
 // Answers on a connection that was opened since the claim was last read don't count. If the
 // connection was only reset, one more reading shows it, and callers hardly wait.
-void upstream_router::read_claim_for_processes(const std::string& group) {
+void upstream_router::read_claim_for_new_connections(const std::string& group) {
     group_contact& state = contact_with(group);
     const time_point now = event_loop::now();
     if (state.reading_claim || now < state.next_claim_read_at ||
@@ -301,6 +302,7 @@
         send_command(id, replication_command::report, 0,
                      [this, id, asked, collected,
                       requested_at](const std::optional<replication_status>& status) {
+                         // Of new members, only who leads matters.
                          const process_continuity& processes = contact_with(asked.group).processes;
                          const bool counts =
                              status && (asked.old_confirmed ||
@@ -436,82 +438,81 @@
             });
         return;
     }
-    const bool without_replicas = commits_without_replicas(group);
-    if (without_replicas && is_sole_member(group, instance)) {
-        on_checked(true);
-        return;
-    }
-    if (without_replicas && confirming_replicas.empty()) {
-        prove_without_replicas(group, instance, std::move(on_checked));
-        return;
+    const time_point now = event_loop::now();
+    if (commits_without_replicas(group)) {
+        if (is_sole_member(group, instance)) {
+            on_checked(true);
+            return;
+        }
+        if (confirming_replicas.empty() || !established_in(group).in_contact(instance, now)) {
+            prove_without_replicas(group, instance, std::move(on_checked));
+            return;
+        }
     }
     if (confirming_replicas.empty()) {
         on_checked(false);
         return;
     }
-    if (without_replicas && !established_in(group).in_contact(instance, event_loop::now())) {
-        prove_without_replicas(group, instance, std::move(on_checked));
-        return;
-    }
-    if (!contact_with(group).contact.unbroken(event_loop::now())) {
-        require_undoubted_contact(group, instance, false, std::move(on_checked));
+    if (!contact_with(group).contact.unbroken(now)) {
+        prove_leadership(group, then_ask_those_in_doubt(group, instance, std::move(on_checked)));
         return;
     }
     const std::string replica = confirming_replicas.front();
     confirming_replicas.erase(confirming_replicas.begin());
-    send_command(replica, replication_command::report, 0,
-                 [this, group, instance, replica, requested_at = event_loop::now(),
-                  confirming_replicas = std::move(confirming_replicas),
-                  on_checked = std::move(on_checked)](
-                     const std::optional<replication_status>& status) mutable {
-                     const auto current_primary = m_directory.primary(group);
-                     if (!status || !established_in(group).is_established(replica)) {
-                         request_confirmation(group, instance, std::move(confirming_replicas),
-                                              std::move(on_checked));
-                         return;
-                     }
-                     if (!current_primary || current_primary->instance != instance ||
-                         !confirms_leadership(*status, *current_primary)) {
-                         on_checked(false);
-                         return;
-                     }
-                     const bool vouched = vouches(group, replica, *status, requested_at);
-                     if (!vouched && !confirming_replicas.empty()) {
-                         request_confirmation(group, instance, std::move(confirming_replicas),
-                                              std::move(on_checked));
-                         return;
-                     }
-                     require_undoubted_contact(group, instance, vouched, std::move(on_checked));
-                 });
+    send_command(
+        replica, replication_command::report, 0,
+        [this, group, instance, replica, requested_at = event_loop::now(),
+         confirming_replicas = std::move(confirming_replicas), on_checked = std::move(on_checked)](
+            const std::optional<replication_status>& status) mutable {
+            const auto current_primary = m_directory.primary(group);
+            if (!status || !established_in(group).is_established(replica)) {
+                request_confirmation(group, instance, std::move(confirming_replicas),
+                                     std::move(on_checked));
+                return;
+            }
+            if (!current_primary || current_primary->instance != instance ||
+                !confirms_leadership(*status, *current_primary)) {
+                on_checked(false);
+                return;
+            }
+            const bool vouched = vouches(group, replica, *status, requested_at);
+            if (!vouched && !confirming_replicas.empty()) {
+                request_confirmation(group, instance, std::move(confirming_replicas),
+                                     std::move(on_checked));
+                return;
+            }
+            auto on_proved = then_ask_those_in_doubt(group, instance, std::move(on_checked));
+            if (vouched) {
+                require_contact(group, std::move(on_proved));
+            } else {
+                prove_leadership(group, std::move(on_proved));
+            }
+        });
 }
 
 // The replicas of a group whose commits don't need them may be gone, while its primary goes on.
 // Then only the claim shows whether one of them was promoted before.
 void upstream_router::prove_without_replicas(const std::string& group, const std::string& instance,
                                              std::function<void(bool)> on_checked) {
+    auto on_proved = then_ask_those_in_doubt(group, instance, std::move(on_checked));
     if (is_proved_lately(group, instance)) {
-        ask_those_in_doubt(group, instance, on_checked);
+        on_proved(true);
     } else {
-        require_undoubted_contact(group, instance, false, std::move(on_checked));
+        prove_leadership(group, std::move(on_proved));
     }
 }
 
 // The instances in doubt are asked last: restoring contact reads the claim that names them.
-void upstream_router::require_undoubted_contact(const std::string& group,
-                                                const std::string& instance, bool vouched,
-                                                std::function<void(bool)> on_checked) {
-    auto on_contact = [this, group, instance, on_checked = std::move(on_checked)](bool holds) {
-        if (holds) {
+std::function<void(bool)>
+upstream_router::then_ask_those_in_doubt(const std::string& group, const std::string& instance,
+                                         std::function<void(bool)> on_checked) {
+    return [this, group, instance, on_checked = std::move(on_checked)](bool proved) {
+        if (proved) {
             ask_those_in_doubt(group, instance, on_checked);
         } else {
             on_checked(false);
         }
     };
-    if (vouched) {
-        require_contact(group, std::move(on_contact));
-    } else {
-        prove_leadership(group, std::move(on_contact));
-    }
 }
 
 // An instance that may begin to lead at any time has to answer that it doesn't.
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -94,7 +94,7 @@
     group_contact& state = contact_with(listed->group);
     const time_point now = event_loop::now();
     if (!state.processes.covers(status, requested_at, now)) {
-        read_claim_for_processes(listed->group);
+        read_claim_for_new_connections(listed->group);
         return;
     }
     established_replicas& replicas = established_in(listed->group);
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -255,7 +255,7 @@
     void note_superseded(const std::string& group, bool superseded);
     void require_contact(const std::string& group, std::function<void(bool)> on_checked);
     void prove_leadership(const std::string& group, std::function<void(bool)> on_checked);
-    void read_claim_for_processes(const std::string& group);
+    void read_claim_for_new_connections(const std::string& group);
     void restore_contact(const std::string& group);
     void ask_members(const restoration& asked);
     void finish_asking(const restoration& asked, bool all_confirm, bool any_established);
@@ -272,12 +272,13 @@
     void record_received(const std::string& group, const known_primary& primary,
                          const std::string& replica, const replication_status& status,
                          time_point requested_at);
-    void confirm_leading(const std::string& group, const known_primary& primary,
-                         std::function<void(bool)> on_confirmed);
+    void confirm_unreplicated_commit(const std::string& group, const known_primary& primary,
+                                     std::function<void(bool)> on_confirmed);
     void acknowledge_in_contact(const std::string& group, const std::string& instance,
                                 commit_request request);
-    void require_undoubted_contact(const std::string& group, const std::string& instance,
-                                   bool vouched, std::function<void(bool)> on_checked);
+    std::function<void(bool)> then_ask_those_in_doubt(const std::string& group,
+                                                      const std::string& instance,
+                                                      std::function<void(bool)> on_checked);
     void ask_those_in_doubt(const std::string& group, const std::string& instance,
                             const std::function<void(bool)>& on_checked);
     void start_commit_round(const std::string& group, const std::string& instance);
