--- a/test/platform/caller_listener_test.cpp
+++ b/test/platform/caller_listener_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <fmt/format.h>
 
 using namespace bronzeplank;
 using namespace bronzeplank::platform;
@@ -316,7 +317,7 @@
     for (const auto& text : order) {
         const auto index = static_cast<std::size_t>(text.at(6) - '0');
         const std::size_t before = test.guard.budget().used(memory_use::input);
-        callers.at(index)->send("QUERY 1 " + text + data + "\r\n");
+        callers.at(index)->send(fmt::format("QUERY 1 {}{}\r\n", text, data));
         REQUIRE(test.host.run_until(
             [&] { return test.guard.budget().used(memory_use::input) >= before + data.size(); }));
     }
