--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -493,6 +493,10 @@
         }
     }
     if (newest != nullptr) {
+        log(log_event::directory_requested,
+            {{"host", newest->host},
+             {"known_version", std::to_string(known.configuration)},
+             {"reported_version", std::to_string(newest->directory.configuration)}});
         wire::envelope message;
         message.mutable_directory();
         send(newest->host, message);
