Watches of a fleet return one after the other, also after a common event

What callers see: in a fleet of forty hosts or more, a confirmed change could stay out of force for up to 20 s on all hosts, while the store and the network are well.

A lost watch shows only when its wait is over, and a large fleet counts on some other host's watch to return meanwhile. But each change, list and outage ends the watches of all hosts together, and after one short watch all of them waited for 15 to 20 s again.

Evidence: lost_watches_test failed in each of its three sections: with 40 hosts, no call reached the store in 6 s after a change, and no host learned of a change whose answers were lost within 5 s.

Change: the hosts' second watch after a common event returns at each host's turn, by its index among the live hosts; full waits of equal length keep the returns apart from then on. The longest gap is two turns: 1 s from four to forty hosts, less beyond.

Result: lost_watches_test and silent_watch_test pass.

--- a/include/bronzeplank/watch_wait.hpp
+++ b/include/bronzeplank/watch_wait.hpp
@@ -5,6 +5,7 @@
 #include "bronzeplank/time.hpp"
 
 #include <algorithm>
+#include <compare>
 #include <cstddef>
 
 namespace bronzeplank {
@@ -19,8 +20,8 @@
 
 /// The longest wait of a watch in a fleet of this size. A lost watch looks like one that waits, and
 /// is noticed when its wait is over. Hosts tell each other about changes, so it suffices that
-/// some host's watch returns in time: the wait grows with the number of hosts, and the fleet's
-/// calls don't, up to forty hosts.
+/// some host's watch returns in time, which `watch_turn` takes care of: the wait grows with the
+/// number of hosts, and the fleet's calls don't, up to forty hosts.
 ///
 /// \param hosts the hosts that hear each other, this one included
 constexpr duration watch_wait_for(std::size_t hosts) {
@@ -28,4 +29,23 @@
     return std::clamp<duration>(scaled, min_watch_wait, max_watch_wait);
 }
 
+/// A host's place among the hosts that tell each other about changes.
+struct watch_turn {
+    /// The hosts, this one included.
+    std::size_t hosts = 1;
+    /// This host's index among them, the same on all of them.
+    std::size_t index = 0;
+    auto operator<=>(const watch_turn&) const = default;
+
+    /// The part of the longest wait after which this host's watch returns for the first time after
+    /// an event that has ended the watches of all hosts, such as a change. Each host has a part of
+    /// its own; full waits keep the returns apart from then on.
+    ///
+    /// \param position the place within this host's part, from 0 up to 1
+    constexpr double share(double position) const {
+        const double place = static_cast<double>(index) + position;
+        return std::clamp(place / static_cast<double>(std::max<std::size_t>(hosts, 1)), 0.0, 1.0);
+    }
+};
+
 } // namespace bronzeplank
--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -89,6 +89,13 @@
     return static_cast<std::size_t>(live) + 1;
 }
 
+std::size_t fleet::live_host_index(time_point now) const {
+    const auto before = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        return entry.first < m_self.host && entry.second.alive(now);
+    });
+    return static_cast<std::size_t>(before);
+}
+
 // Includes registered hosts that have never sent a heartbeat, for `host_retention` after the start:
 // they may be running on the other side of a partition. Hosts that registered after the list was
 // last read, and all hosts later on, count by their heartbeats only.
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -230,6 +230,8 @@
     std::vector<const fleet_peer*> live_peers(time_point now) const;
     /// The number of hosts that are alive, this one included.
     std::size_t live_host_count(time_point now) const;
+    /// This host's index among the hosts that are alive, ordered by name.
+    std::size_t live_host_index(time_point now) const;
     /// The number of hosts, this one included, that are alive or may be alive but unreachable.
     std::size_t presumed_host_count(time_point now) const;
     /// The number of live peers that report the instance as unreachable.
--- a/test/platform/lost_watches_test.cpp
+++ b/test/platform/lost_watches_test.cpp
@@ -26,7 +26,7 @@
         change(1);
         for (std::size_t i = 0; i < host_count; ++i) {
             clients.push_back(std::make_unique<object_store>(loop, store_stub::address()));
-            clients.back()->set_host_count(host_count);
+            clients.back()->set_turn({host_count, i});
             const auto record = [this](const std::vector<stored_object>& received,
                                        const store_position&) {
                 newest_known = std::max(newest_known, received.empty() ? 0 : m_latest_change);
--- a/test/platform/silent_watch_test.cpp
+++ b/test/platform/silent_watch_test.cpp
@@ -127,8 +127,8 @@
         REQUIRE(test.until_all_know(kind, 2, stability_window));
     }
     SECTION("when only one host's watch is lost, and waits are those of a large fleet") {
-        for (const auto& host : test.hosts) {
-            host->client.set_host_count(host_count == 1 ? 1 : 40);
+        for (std::size_t i = 0; i < test.hosts.size(); ++i) {
+            test.hosts[i]->client.set_turn({host_count == 1 ? 1U : 40U, i});
         }
         test.run_for(milliseconds(4000));
         test.store.forget_watches(kind, 1);
--- a/test/watch_wait_test.cpp
+++ b/test/watch_wait_test.cpp
@@ -20,3 +20,22 @@
         });
     }
 }
+
+TEST_CASE("the turns of a fleet's hosts") {
+    SECTION("follow one another without a gap, wherever in its part a host's turn lies") {
+        rc::prop("for any number of hosts", [] {
+            const auto hosts = static_cast<std::size_t>(*rc::gen::inRange(1, 1000));
+            const auto index =
+                static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(hosts)));
+            const double part = 1.0 / static_cast<double>(hosts);
+            const double earliest = watch_turn{hosts, index}.share(0);
+            const double latest = watch_turn{hosts, index}.share(0.999999);
+            RC_ASSERT(earliest >= static_cast<double>(index) * part - 1e-9);
+            RC_ASSERT(latest <= static_cast<double>(index + 1) * part + 1e-9);
+        });
+    }
+    SECTION("are within the longest wait even if the index and the number don't fit") {
+        REQUIRE(watch_turn{2, 5}.share(0.5) == 1.0);
+        REQUIRE(watch_turn{0, 0}.share(0.5) == 0.5);
+    }
+}
