Ask another peer when one with a newer directory doesn't send it

What callers see: a host whose own watch is lost goes on by an old configuration, although hosts around it know the later one.

Cause: a host that is behind asked one peer, and the next time the same one: the first by name among the newest. A peer that is alive, as its heartbeats show, but can't get its answer through was asked for ever. In a large fleet all hosts asked the same one.

Change: three requests to one peer, then the next one; hosts of the own failure domain first, since they are connected; among equals each host has its own order.

--- a/src/session/fleet.cpp
+++ b/src/session/fleet.cpp
@@ -8,6 +8,7 @@
 #include "session/fleet_relays.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <random>
 #include <set>
 #include <tuple>
@@ -38,6 +39,8 @@
 constexpr std::chrono::milliseconds directory_check_interval{200};
 // Heartbeats are sent up to this late.
 constexpr std::chrono::milliseconds tick_interval{50};
+// The first message to an address and the first one back are lost if there is no connection yet.
+constexpr std::size_t directory_requests_per_peer = 3;
 // Leaves a million call ids between two neighboring incarnations.
 constexpr unsigned call_id_incarnation_shift = 20;
 
@@ -470,6 +473,7 @@
     }
     if (newest == known) {
         m_behind_since.reset();
+        m_directory_requests = 0;
         return;
     }
     if (!m_behind_since) {
@@ -481,9 +485,11 @@
     }
 }
 
-// Asks the peer with the newest configuration, or with the newest lists if the configuration is
-// known. Lists are requested only if they come from peers.
-void fleet::request_newer_directory(const directory_versions& known, time_point now) {
+// The peers that have a newer configuration, or newer lists if these come from peers; the newest
+// first. Hosts of the own failure domain are connected already. Among equals, each host has an
+// order of its own, so that the first one to know isn't asked by all others.
+std::vector<const fleet_peer*> fleet::newer_peers(const directory_versions& known,
+                                                  time_point now) const {
     const bool lists_from_peers = m_callbacks.lists_from_peers ? m_callbacks.lists_from_peers()
                                                                : m_callbacks.platform_unreachable();
     const auto rank = [&](const directory_versions& versions) {
@@ -493,21 +499,33 @@
                                 : std::tuple(std::max(versions.configuration, known.configuration),
                                              known.instances, known.withdrawals);
     };
-    const fleet_peer* newest = nullptr;
-    for (const fleet_peer* peer : live_peers(now)) {
-        if (rank(peer->directory) > rank(newest == nullptr ? known : newest->directory)) {
-            newest = peer;
-        }
-    }
-    if (newest != nullptr) {
-        log(log_event::directory_requested,
-            {{"host", newest->host},
-             {"known_version", std::to_string(known.configuration)},
-             {"reported_version", std::to_string(newest->directory.configuration)}});
-        wire::envelope message;
-        message.mutable_directory();
-        send(newest->host, message);
+    std::vector<const fleet_peer*> newer = live_peers(now);
+    std::erase_if(newer,
+                  [&](const fleet_peer* peer) { return rank(peer->directory) <= rank(known); });
+    const auto preference = [&](const fleet_peer* peer) {
+        return std::tuple(rank(peer->directory), peer->failure_domain == m_self.failure_domain,
+                          peer->incarnation ^ m_incarnation);
+    };
+    std::ranges::sort(newer, std::greater(), preference);
+    return newer;
+}
+
+// One peer at a time, and the next one if that doesn't help: a peer may be alive and yet not get
+// its answer through.
+void fleet::request_newer_directory(const directory_versions& known, time_point now) {
+    const std::vector<const fleet_peer*> newer = newer_peers(known, now);
+    if (newer.empty()) {
+        return;
     }
+    const fleet_peer& asked =
+        *newer[(m_directory_requests++ / directory_requests_per_peer) % newer.size()];
+    log(log_event::directory_requested,
+        {{"host", asked.host},
+         {"known_version", std::to_string(known.configuration)},
+         {"reported_version", std::to_string(asked.directory.configuration)}});
+    wire::envelope message;
+    message.mutable_directory();
+    send(asked.host, message);
 }
 
 void fleet::complete_call(const wire::envelope& message) {
--- a/src/session/fleet.hpp
+++ b/src/session/fleet.hpp
@@ -340,6 +340,8 @@
     void send_directory(const std::string& from);
     void handle_directory(const wire::envelope& message);
     void check_directory(time_point now);
+    std::vector<const fleet_peer*> newer_peers(const directory_versions& known,
+                                               time_point now) const;
     void request_newer_directory(const directory_versions& known, time_point now);
     void complete_call(const wire::envelope& message);
     std::uint64_t register_call(const std::string& host, duration timeout, call handlers);
@@ -380,6 +382,8 @@
     std::uint64_t m_dropped_count = 0;
     /// Since when a peer has reported a newer directory.
     std::optional<time_point> m_behind_since;
+    /// Requests for a newer directory since this host fell behind.
+    std::size_t m_directory_requests = 0;
     std::uint64_t m_view_version = 0;
     mutable std::map<std::string, int, std::less<>> m_unreachable_counts;
     mutable std::uint64_t m_unreachable_view_version = 0;
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -559,6 +559,40 @@
     }
 }
 
+TEST_CASE("a host whose peer has a newer directory but sends none") {
+    event_loop loop;
+    bus_host host(loop, "first", 7593, scripted_port);
+    scripted_peer silent(loop);
+    silent.bus.connect("127.0.0.1:7593");
+    bus_host other(loop, "second", 7597, 7593);
+    host.local_directory = {6, "{}", {2, 30}, {}, {}, {2, 30}};
+    other.local_directory = {7, "{}", {2, 30}, {}, {}, {2, 30}};
+    const std::uint64_t silent_version = GENERATE(7, 8);
+    CAPTURE(silent_version);
+    const auto send_heartbeat = [&] {
+        wire::envelope message;
+        message.mutable_fleet()->set_period_ms(200);
+        message.mutable_fleet()->set_whole(true);
+        message.mutable_fleet()->set_failure_domain("a");
+        message.mutable_fleet()->set_peer_address("127.0.0.1:" + std::to_string(scripted_port));
+        message.mutable_fleet()->set_configuration_version(silent_version);
+        silent.clock += milliseconds(100);
+        silent.send(message);
+    };
+
+    SECTION("asks another one that has a newer directory as well") {
+        const time_point deadline = event_loop::now() + std::chrono::seconds(4);
+        while (host.accepted_directories.empty() && event_loop::now() < deadline) {
+            send_heartbeat();
+            const timer stop = loop.after(milliseconds(100), [&loop] { loop.stop(); });
+            loop.run();
+        }
+        REQUIRE(host.peers->find_live("scripted") != nullptr);
+        REQUIRE_FALSE(host.accepted_directories.empty());
+        REQUIRE(host.accepted_directories.front().configuration_version == 7);
+    }
+}
+
 TEST_CASE("a host that one peer asks for a heartbeat between two regular ones") {
     event_loop loop;
     bus_host host(loop, "first", 7593, scripted_port);
