--- a/include/bronzeplank/watch_wait.hpp
+++ b/include/bronzeplank/watch_wait.hpp
@@ -11,7 +11,7 @@
 namespace bronzeplank {
 
 /// The average time between two returns of any host's watch of one kind, up to
-/// `max_watch_wait / watch_return_interval` hosts.
+/// `max_watch_wait / watch_return_interval` hosts; the longest is twice as long.
 constexpr std::chrono::milliseconds watch_return_interval{500};
 /// Also bounds how long a host without peers can miss a change because a watch or its answer was
 /// lost.
@@ -37,11 +37,11 @@
     std::size_t index = 0;
     auto operator<=>(const watch_turn&) const = default;
 
-    /// The part of the longest wait after which this host's watch returns for the first time after
-    /// an event that has ended the watches of all hosts, such as a change. Each host has a part of
-    /// its own; full waits keep the returns apart from then on.
+    /// Which share of the longest wait this host waits once after an event that has ended the
+    /// watches of all hosts, such as a change. The hosts' shares differ, and full waits keep their
+    /// returns apart from then on.
     ///
-    /// \param position the place within this host's part, from 0 up to 1
+    /// \param position the place between this host's share and the next one's, from 0 up to 1
     constexpr double share(double position) const {
         const double place = static_cast<double>(index) + position;
         return std::clamp(place / static_cast<double>(std::max<std::size_t>(hosts, 1)), 0.0, 1.0);
