--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -300,6 +300,13 @@
             REQUIRE(second->overdue_directories.empty());
         }
     }
+    SECTION("have different indexes among the live hosts") {
+        REQUIRE(first.peers->live_host_index(event_loop::now()) == 0);
+        REQUIRE(second->peers->live_host_index(event_loop::now()) == 1);
+        first.peers.reset();
+        REQUIRE(run_until(loop,
+                          [&] { return second->peers->live_host_index(event_loop::now()) == 0; }));
+    }
     SECTION("count each other as presumed hosts, even after one has died") {
         REQUIRE(first.peers->presumed_host_count(event_loop::now()) == 2);
         second.reset();
