Log how a host has learned who the primary is

The hosts' logs showed that the host had turned back to the former primary under the successor's term, and not why: a status, a claim, a heartbeat and the answer to a commit all end in record_primary().

The tracker keeps it with each term; nothing is decided by it.

--- a/include/bronzeplank/primary_tracker.hpp
+++ b/include/bronzeplank/primary_tracker.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace bronzeplank {
 
@@ -28,6 +29,22 @@
     bool operator==(const term_beginning&) const = default;
 };
 
+/// How a host has learned that an instance is the primary of a term.
+enum class primary_evidence {
+    /// Only the list names it as the primary.
+    listed,
+    /// Another host considers it the primary.
+    peer,
+    /// The answer to a commit had a position of the term.
+    commit_answer,
+    /// The platform has accepted its promotion.
+    promotion,
+    /// The instance has reported its role and term.
+    status
+};
+
+std::string_view to_string(primary_evidence evidence);
+
 /// Checks the primary's leadership by a replica's report: when the report was requested, no newer
 /// term had a primary, since the replica neither follows a newer term nor is paused by a claim of
 /// one. A primary whose term is not known (0) can't be confirmed.
@@ -36,12 +53,13 @@
 /// Tracks one group's primary, as reported by the list, by the instances themselves and by
 /// promotions that any host has started. The instance with the highest term is the current one; it
 /// is replaced by one with a lower term only if it has left the list or reported to be a replica.
-/// Usage: `tracker.record_primary("a", 3); const auto primary = tracker.current(listed, "g");`
+/// Usage: `tracker.record_primary("a", 3, primary_evidence::status);` `const auto primary =
+/// tracker.current(listed, "g");`
 class primary_tracker {
 public:
     /// Records that the instance is or was the primary of the term, as it reported itself or as the
     /// platform accepted.
-    void record_primary(const std::string& instance, std::uint64_t term);
+    void record_primary(const std::string& instance, std::uint64_t term, primary_evidence evidence);
 
     /// Records what another host believes. Ignored if the instance has reported to be a replica
     /// since: the other host may not have heard of that.
@@ -55,6 +73,10 @@
     std::optional<known_primary> current(const upstream_list& listed,
                                          const std::string& group) const;
 
+    /// How this host has learned that the instance is the primary of the newest term that is known
+    /// of it.
+    primary_evidence evidence_for(const std::string& instance) const;
+
     /// Records how the primary's term began; what was recorded first holds.
     void record_beginning(const term_beginning& beginning);
 
@@ -68,7 +90,15 @@
     std::uint64_t newest_term() const { return m_newest; }
 
 private:
-    std::map<std::string, std::uint64_t, std::less<>> m_terms;
+    struct led_term {
+        std::uint64_t term = 0;
+        primary_evidence evidence = primary_evidence::listed;
+    };
+
+    void record(const std::string& instance, const led_term& led);
+
+    /// The highest known term of which the instance is or was the primary.
+    std::map<std::string, led_term, std::less<>> m_terms;
     /// The highest known term in which the instance reported to be a replica.
     std::map<std::string, std::uint64_t, std::less<>> m_replica_terms;
     std::uint64_t m_newest = 0;
--- a/src/core/primary_tracker.cpp
+++ b/src/core/primary_tracker.cpp
@@ -1,34 +1,55 @@
 #include "bronzeplank/primary_tracker.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace bronzeplank {
 
+std::string_view to_string(primary_evidence evidence) {
+    static constexpr std::array<std::string_view, 5> names{"listed", "peer", "commit_answer",
+                                                           "promotion", "status"};
+    return names.at(static_cast<std::size_t>(evidence));
+}
+
 bool confirms_leadership(const replication_status& replica, const known_primary& primary) {
     return primary.term != 0 && replica.role == replication_role::replica &&
            replica.term <= primary.term && replica.paused_by <= primary.term;
 }
 
-void primary_tracker::record_primary(const std::string& instance, std::uint64_t term) {
-    m_newest = std::max(m_newest, term);
-    std::uint64_t& known = m_terms[instance];
-    known = std::max(known, term);
+void primary_tracker::record(const std::string& instance, const led_term& led) {
+    m_newest = std::max(m_newest, led.term);
+    led_term& known = m_terms[instance];
+    if (led.term > known.term) {
+        known = led;
+    } else if (led.term == known.term) {
+        known.evidence = std::max(known.evidence, led.evidence);
+    }
     m_replica_terms.erase(instance);
 }
 
+void primary_tracker::record_primary(const std::string& instance, std::uint64_t term,
+                                     primary_evidence evidence) {
+    record(instance, {term, evidence});
+}
+
 void primary_tracker::record_hearsay(const std::string& instance, std::uint64_t term) {
     const auto replica = m_replica_terms.find(instance);
     if (replica == m_replica_terms.end() || replica->second < term) {
-        record_primary(instance, term);
+        record(instance, {term, primary_evidence::peer});
     }
 }
 
+primary_evidence primary_tracker::evidence_for(const std::string& instance) const {
+    const auto found = m_terms.find(instance);
+    return found == m_terms.end() ? primary_evidence::listed : found->second.evidence;
+}
+
 void primary_tracker::record_replica(const std::string& instance, std::uint64_t term) {
     m_newest = std::max(m_newest, term);
     std::uint64_t& replica_term = m_replica_terms[instance];
     replica_term = std::max(replica_term, term);
     const auto found = m_terms.find(instance);
-    if (found != m_terms.end() && found->second <= term) {
+    if (found != m_terms.end() && found->second.term <= term) {
         m_terms.erase(found);
     }
 }
@@ -54,7 +75,7 @@
             continue;
         }
         const auto known = m_terms.find(id);
-        const std::uint64_t term = known == m_terms.end() ? 0 : known->second;
+        const std::uint64_t term = known == m_terms.end() ? 0 : known->second.term;
         if (term == 0 && !instance.says_primary) {
             continue;
         }
--- a/src/session/commit_confirmation.cpp
+++ b/src/session/commit_confirmation.cpp
@@ -146,7 +146,8 @@
                                      const log_position& position, duration took,
                                      std::function<void(bool)> on_confirmed) {
     // Only the primary of a term commits in it.
-    m_directory.primary_tracker_for(group).record_primary(instance, position.term);
+    m_directory.primary_tracker_for(group).record_primary(instance, position.term,
+                                                          primary_evidence::commit_answer);
     if (m_directory.primary(group) != known_primary{instance, position.term}) {
         on_confirmed(false);
         return;
--- a/src/session/failover_attempt.cpp
+++ b/src/session/failover_attempt.cpp
@@ -144,7 +144,8 @@
                        present.claim.term > (known ? known->term : 0);
     if (newer && m_directory.instance(present.claim.successor) != nullptr) {
         m_directory.primary_tracker_for(attempt.group)
-            .record_primary(present.claim.successor, present.claim.term);
+            .record_primary(present.claim.successor, present.claim.term,
+                            primary_evidence::promotion);
         co_return false;
     }
     const time_point now = event_loop::now();
@@ -425,7 +426,7 @@
         co_await sleep_for(m_loop, poll_interval);
     }
     // The platform has accepted the successor, so it leads the term even if no host can reach it.
-    tracker.record_primary(successor, expected_term);
+    tracker.record_primary(successor, expected_term, primary_evidence::promotion);
     tracker.record_beginning({{successor, expected_term}, attempt.first_position});
     co_return false;
 }
--- a/src/session/failover_service.cpp
+++ b/src/session/failover_service.cpp
@@ -246,10 +246,13 @@
     if (promoted) {
         // The first primary that this host learns of is not a new one.
         state.primary_since = state.last_primary.empty() ? time_point{} : now;
+        const primary_evidence evidence =
+            m_directory.primary_tracker_for(group).evidence_for(primary->instance);
         log(log_event::primary_in_force, {{"group", group},
                                           {"primary", primary->instance},
                                           {"term", std::to_string(primary->term)},
-                                          {"before", state.last_primary}});
+                                          {"before", state.last_primary},
+                                          {"evidence", std::string(to_string(evidence))}});
         state.last_primary = primary->instance;
     }
     if (primary->term != state.last_term) {
--- a/src/session/upstream_router.cpp
+++ b/src/session/upstream_router.cpp
@@ -79,7 +79,7 @@
     }
     primary_tracker& tracker = m_directory.primary_tracker_for(listed->group);
     if (status.role == replication_role::primary) {
-        tracker.record_primary(instance, status.term);
+        tracker.record_primary(instance, status.term, primary_evidence::status);
         // A primary that hasn't committed yet shows with which position its term began.
         if (status.received.term < status.term) {
             tracker.record_beginning({{instance, status.term}, status.received});
--- a/test/model/failover_fixture.hpp
+++ b/test/model/failover_fixture.hpp
@@ -48,7 +48,7 @@
     failover_fixture() {
         stored.succeeded = true;
         members.succeeded = true;
-        host.directory.primary_tracker_for("g").record_primary("p", 1);
+        host.directory.primary_tracker_for("g").record_primary("p", 1, primary_evidence::status);
         host.directory.remove_expired(event_loop::now());
         host.pools["p"].reachable = false;
         host.reports.erase("p");
--- a/test/model/failover_model.hpp
+++ b/test/model/failover_model.hpp
@@ -80,7 +80,7 @@
         m_store.run(start, m_group.listed());
         for (auto& host : m_hosts) {
             read_list(host);
-            host.tracker.record_primary("i0", 1);
+            host.tracker.record_primary("i0", 1, primary_evidence::status);
             host.primary = {"i0", 1};
         }
     }
@@ -425,7 +425,7 @@
     void learn(host& own, const std::string& id, const replication_status& status,
                time_point requested_at) const {
         if (status.role == replication_role::primary) {
-            own.tracker.record_primary(id, status.term);
+            own.tracker.record_primary(id, status.term, primary_evidence::status);
         } else {
             own.tracker.record_replica(id, status.term);
         }
@@ -737,7 +737,8 @@
         if (present.finished && !present.successor.empty() &&
             present.successor != own.primary.instance && present.term > own.primary.term &&
             own.listed.contains(present.successor)) {
-            own.tracker.record_primary(present.successor, present.term);
+            own.tracker.record_primary(present.successor, present.term,
+                                       primary_evidence::promotion);
             return;
         }
         attempt_state attempt;
@@ -1023,7 +1024,8 @@
             return;
         }
         if (m_now - attempt.phase_since > promotion_timeout) {
-            own.tracker.record_primary(attempt.successor, attempt.promoted_term);
+            own.tracker.record_primary(attempt.successor, attempt.promoted_term,
+                                       primary_evidence::promotion);
             own.attempt.reset();
             return;
         }
--- a/test/primary_tracker_test.cpp
+++ b/test/primary_tracker_test.cpp
@@ -28,11 +28,11 @@
         REQUIRE_FALSE(tracker.current(list, "g"));
     }
     SECTION("the one with the highest term, before the list names it") {
-        tracker.record_primary("a", 3);
-        tracker.record_primary("b", 4);
+        tracker.record_primary("a", 3, primary_evidence::status);
+        tracker.record_primary("b", 4, primary_evidence::status);
         REQUIRE(tracker.current(list, "g") == known_primary{"b", 4});
         SECTION("even when an old primary repeats its term") {
-            tracker.record_primary("a", 3);
+            tracker.record_primary("a", 3, primary_evidence::status);
             REQUIRE(tracker.current(list, "g") == known_primary{"b", 4});
         }
         SECTION("until it reports to be a replica of a newer term") {
@@ -48,7 +48,7 @@
                 tracker.record_hearsay("b", 5);
                 REQUIRE(tracker.current(list, "g") == known_primary{"b", 5});
                 tracker.record_replica("b", 5);
-                tracker.record_primary("b", 5);
+                tracker.record_primary("b", 5, primary_evidence::status);
                 REQUIRE(tracker.current(list, "g") == known_primary{"b", 5});
             }
         }
--- a/test/session/abandoned_claim_test.cpp
+++ b/test/session/abandoned_claim_test.cpp
@@ -13,7 +13,7 @@
     failover_fixture test;
     test.stored = {true, {0, 5}, {2, "other", "q", true, 2}};
     test.host.directory.upsert_instance(listed_instance("q", true));
-    test.host.directory.primary_tracker_for("g").record_primary("q", 2);
+    test.host.directory.primary_tracker_for("g").record_primary("q", 2, primary_evidence::status);
     test.host.pools["q"].reachable = false;
     test.host.pools["p"].reachable = true;
     test.host.reports["r"] = {replication_role::replica, 1, {1, 26}, 0};
--- a/test/session/caller_session_test.cpp
+++ b/test/session/caller_session_test.cpp
@@ -204,7 +204,8 @@
         REQUIRE(test.last().error == error_kind::statement_failed);
     }
     SECTION("is sent to the new primary when the old one rejected it after a failover") {
-        test.host.directory.primary_tracker_for("g").record_primary("r", 2);
+        test.host.directory.primary_tracker_for("g").record_primary("r", 2,
+                                                                    primary_evidence::status);
         test.host.answer(upstream_result::not_primary);
         REQUIRE(test.sent().instance == "r");
     }
--- a/test/session/failover_service_test.cpp
+++ b/test/session/failover_service_test.cpp
@@ -61,7 +61,8 @@
         test.service->start();
         REQUIRE(test.host.run_until([&] { return !test.promoted.empty(); }));
         const std::string other = test.promoted.front() == "r" ? "s" : "r";
-        test.host.directory.primary_tracker_for("g").record_primary(other, 3);
+        test.host.directory.primary_tracker_for("g").record_primary(other, 3,
+                                                                    primary_evidence::status);
         test.host.run_until([] { return false; });
         test.host.run_until([] { return false; });
         REQUIRE(test.host.directory.primary("g") == known_primary{other, 3});
@@ -393,7 +394,7 @@
     test.host.reports["p"] = make_status(replication_role::primary, 1);
     test.service->start();
     test.host.run_until([&] { return false; });
-    test.host.directory.primary_tracker_for("g").record_primary("r", 2);
+    test.host.directory.primary_tracker_for("g").record_primary("r", 2, primary_evidence::status);
     test.host.directory.upsert_instance(model::listed_instance("s", false));
     test.host.reports["p"] = make_status(replication_role::replica, 2);
     test.host.reports["s"] = make_status(replication_role::replica, 2);
--- a/test/session/fallback_primary_test.cpp
+++ b/test/session/fallback_primary_test.cpp
@@ -10,7 +10,7 @@
     failover_fixture test;
     const auto promoted = [&] { return !test.promoted.empty(); };
     test.host.directory.upsert_instance(model::listed_instance("n", true));
-    test.host.directory.primary_tracker_for("g").record_primary("n", 2);
+    test.host.directory.primary_tracker_for("g").record_primary("n", 2, primary_evidence::status);
     test.host.reports["n"] = {replication_role::primary, 2, {2, 30}, 0};
     test.host.reports["r"] = {replication_role::replica, 2, {1, 27}, 0};
     test.service->start();
@@ -29,7 +29,8 @@
             upstream_instance again = model::listed_instance("n2", true);
             test.host.directory.upsert_instance(again);
             test.host.reports["n2"] = {replication_role::primary, 2, {2, 30}, 0};
-            test.host.directory.primary_tracker_for("g").record_primary("n2", 2);
+            test.host.directory.primary_tracker_for("g").record_primary("n2", 2,
+                                                                        primary_evidence::status);
             run_for(test, std::chrono::milliseconds(4500));
             REQUIRE_FALSE(promoted());
             REQUIRE(test.host.directory.primary("g") == known_primary{"n2", 2});
@@ -60,7 +61,7 @@
     upstream_instance newer = model::listed_instance("n", true);
     newer.born_ms = 1;
     test.host.directory.upsert_instance(newer);
-    test.host.directory.primary_tracker_for("g").record_primary("n", 2);
+    test.host.directory.primary_tracker_for("g").record_primary("n", 2, primary_evidence::status);
     test.host.reports["n"] = {replication_role::primary, 2, {2, 30}, 0};
     test.service->start();
     run_for(test, std::chrono::milliseconds(300));
@@ -93,7 +94,7 @@
     test.host.pools["p"].reachable = true;
     test.host.reports["p"] = model::make_status(replication_role::primary, 1);
     test.host.directory.upsert_instance(model::listed_instance("n", true));
-    test.host.directory.primary_tracker_for("g").record_primary("n", 2);
+    test.host.directory.primary_tracker_for("g").record_primary("n", 2, primary_evidence::status);
     test.host.reports["n"] = {replication_role::primary, 2, {2, 30}, 0};
     upstream_instance leaver = model::listed_instance("s", false);
     test.host.directory.upsert_instance(leaver);
--- a/test/session/fleet_directory_test.cpp
+++ b/test/session/fleet_directory_test.cpp
@@ -85,7 +85,7 @@
         REQUIRE_FALSE(directory.accepts_work(listed("i")));
     }
     SECTION("that has restarted is not the primary of its earlier terms") {
-        directory.primary_tracker_for("g").record_primary("i", 7);
+        directory.primary_tracker_for("g").record_primary("i", 7, primary_evidence::status);
         REQUIRE(directory.primary("g") == known_primary{"i", 7});
         upstream_instance restarted = listed("i");
         restarted.born_ms = 2;
--- a/test/session/recent_promotions_test.cpp
+++ b/test/session/recent_promotions_test.cpp
@@ -22,7 +22,7 @@
 TEST_CASE("a host learns its first term of \"p\", which leaves") {
     failover_fixture test;
     model::list_leaving_primary(test);
-    test.host.directory.primary_tracker_for("g").record_primary("p", 2);
+    test.host.directory.primary_tracker_for("g").record_primary("p", 2, primary_evidence::status);
     test.host.reports["p"] = {replication_role::primary, 2, {2, 27}, 0};
     const auto promoted = [&] { return !test.promoted.empty(); };
 
--- a/test/session/upstream_router_test.cpp
+++ b/test/session/upstream_router_test.cpp
@@ -89,14 +89,14 @@
 
 TEST_CASE("a leadership check keeps its instance while it waits for the next round") {
     model::single_host host;
-    host.directory.primary_tracker_for("g").record_primary("p", 1);
+    host.directory.primary_tracker_for("g").record_primary("p", 1, primary_evidence::status);
     host.defer_reports = true;
     std::optional<bool> first;
     std::optional<bool> second;
     host.router.check_leadership("g", "p", [&](bool value) { first = value; });
     host.router.check_leadership("g", "p", [&](bool value) { second = value; });
     // "r" becomes the primary while the first check is pending, and "p" its replica.
-    host.directory.primary_tracker_for("g").record_primary("r", 2);
+    host.directory.primary_tracker_for("g").record_primary("r", 2, primary_evidence::status);
     host.reports["p"] = make_status(replication_role::replica, 2);
     host.reports["r"] = make_status(replication_role::primary, 2);
     while (!host.deferred_reports.empty()) {
@@ -243,7 +243,7 @@
     sources.platform_reachable = [&] { return platform_reachable; };
     sources.read_claim = [&](const std::string&, const auto& on_claim) { on_claim(claim); };
     host.router.set_leadership_sources(sources);
-    host.directory.primary_tracker_for("g").record_primary("p", 2);
+    host.directory.primary_tracker_for("g").record_primary("p", 2, primary_evidence::status);
     host.reports["p"] = make_status(replication_role::primary, 2);
     host.reports["r"] = {replication_role::replica, 2, {2, 30}, 0};
     std::optional<bool> acknowledged;
