A commit's answer no longer makes its instance the primary

Cause: confirm_commit() took the instance for the primary of the term of the answer's position. An answer's position is the end of the instance's log, whoever wrote it: a former primary that follows its successor answers with the successor's term, after the commit of a transaction without writes and after a commit that was followed by the loss of the lead. The claim and the replicas then confirmed the wrong instance, since they compare terms only.

Change: a host learns the primary of a term from the instance's own status, which has role and term together, from an accepted promotion, or from another host; the evidence commit_answer is gone. A commit that was answered with a newer term than this host knows makes it ask the instance; if that one doesn't lead that term, the outcome is unknown.

former_primary_test failed before in three places: the former primary was taken for the successor after a commit without writes, after one that wrote, and at a host that hadn't heard of the change. The asking keeps the answer of a new primary that its host doesn't know yet.

--- a/include/bronzeplank/primary_tracker.hpp
+++ b/include/bronzeplank/primary_tracker.hpp
@@ -35,8 +35,6 @@
     listed,
     /// Another host considers it the primary.
     peer,
-    /// The answer to a commit had a position of the term.
-    commit_answer,
     /// The platform has accepted its promotion.
     promotion,
     /// The instance has reported its role and term.
--- a/src/core/primary_tracker.cpp
+++ b/src/core/primary_tracker.cpp
@@ -6,8 +6,7 @@
 namespace bronzeplank {
 
 std::string_view to_string(primary_evidence evidence) {
-    static constexpr std::array<std::string_view, 5> names{"listed", "peer", "commit_answer",
-                                                           "promotion", "status"};
+    static constexpr std::array<std::string_view, 4> names{"listed", "peer", "promotion", "status"};
     return names.at(static_cast<std::size_t>(evidence));
 }
 
--- a/src/session/commit_confirmation.cpp
+++ b/src/session/commit_confirmation.cpp
@@ -142,19 +142,41 @@
                      });
 }
 
+// An answer's position is the end of the instance's log. Its term doesn't show that the instance
+// leads that term: it may have lost the lead after the commit and follow the new primary by now.
+// Only a status names role and term together.
 void upstream_router::confirm_commit(const std::string& group, const std::string& instance,
                                      const log_position& position, duration took,
                                      std::function<void(bool)> on_confirmed) {
-    // Only the primary of a term commits in it.
-    m_directory.primary_tracker_for(group).record_primary(instance, position.term,
-                                                          primary_evidence::commit_answer);
-    if (m_directory.primary(group) != known_primary{instance, position.term}) {
+    const known_primary committer{instance, position.term};
+    const known_primary primary = m_directory.primary(group).value_or(known_primary{});
+    if (primary == committer) {
+        confirm_commit_of_primary(group, committer, position, took, std::move(on_confirmed));
+        return;
+    }
+    if (position.term <= primary.term) {
         on_confirmed(false);
         return;
     }
+    send_command(instance, replication_command::report, 0,
+                 [this, group, committer, position, took, on_confirmed = std::move(on_confirmed)](
+                     const std::optional<replication_status>&) {
+                     if (m_directory.primary(group) == committer) {
+                         confirm_commit_of_primary(group, committer, position, took, on_confirmed);
+                     } else {
+                         on_confirmed(false);
+                     }
+                 });
+}
+
+void upstream_router::confirm_commit_of_primary(const std::string& group,
+                                                const known_primary& primary,
+                                                const log_position& position, duration took,
+                                                std::function<void(bool)> on_confirmed) {
+    const std::string& instance = primary.instance;
     contact_with(group).used_at = event_loop::now();
     if (commits_without_replicas(group)) {
-        confirm_unreplicated_commit(group, {instance, position.term}, std::move(on_confirmed));
+        confirm_unreplicated_commit(group, primary, std::move(on_confirmed));
         return;
     }
     if (!commits_need_confirmation(group, instance, took)) {
--- a/src/session/upstream_router.hpp
+++ b/src/session/upstream_router.hpp
@@ -143,10 +143,13 @@
     /// instance would commit, and confirm_commit() might fail.
     bool can_acknowledge(const std::string& group, const std::string& instance);
 
-    /// Checks that the primary's commits up to `position` outlast a failover. Calls `on_confirmed`
-    /// immediately unless an established replica has to be asked; with false if none has received
-    /// the position in time, or the instance may have been replaced.
-    /// \param took the time from the request to the primary's answer
+    /// Checks that a commit that changed data outlasts a failover. Calls `on_confirmed` immediately
+    /// unless an instance has to be asked: the one that committed, if it isn't known as the primary
+    /// of the position's term, and established replicas, if they have to show that one of them has
+    /// received the position. With false if none has in time, or if the instance may have been
+    /// replaced.
+    /// \param position the end of the instance's log when it answered the commit
+    /// \param took the time from the request to the instance's answer
     void confirm_commit(const std::string& group, const std::string& instance,
                         const log_position& position, duration took,
                         std::function<void(bool)> on_confirmed);
@@ -272,6 +275,9 @@
     void record_received(const std::string& group, const known_primary& primary,
                          const std::string& replica, const replication_status& status,
                          time_point requested_at);
+    void confirm_commit_of_primary(const std::string& group, const known_primary& primary,
+                                   const log_position& position, duration took,
+                                   std::function<void(bool)> on_confirmed);
     void confirm_unreplicated_commit(const std::string& group, const known_primary& primary,
                                      std::function<void(bool)> on_confirmed);
     void acknowledge_in_contact(const std::string& group, const std::string& instance,
