A commit without writes shows nothing about its group

Callers whose transaction had written nothing got ABORTED or INDOUBT for its COMMIT although the instance had completed it: from a former primary, and from a new one that had committed nothing yet. And a group whose primary crashed while commits waited for its replicas got no other primary: the answer to a commit without writes names the end of the primary's log, which was then taken for an acknowledged commit that each successor must have.

Cause: the work of such a COMMIT counted as one that changes data, since its transaction isn't read-only. So the gateway had it confirmed, and the session recorded its answer's position as a commit, raised the position that its later reads need, and told the other hosts.

Change: the session sends the COMMIT as work that changes no data if its transaction has sent no write. An instance completes it even if it has lost the lead, so nothing is confirmed and nothing is concluded from its answer.

former_primary_test failed before in two places (the caller's answer, each time).

--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -271,6 +271,13 @@
     return m_pending.request.kind == statement_kind::commit && m_operation.has_written;
 }
 
+// An instance completes the commit of a transaction that has written nothing although it has lost
+// the lead: such a commit shows nothing about the primary, and has nothing to be confirmed.
+bool caller_session::is_read_only_work() const {
+    const bool commits = m_pending.request.kind == statement_kind::commit;
+    return m_operation.read_only || (commits && !m_operation.has_written);
+}
+
 bool caller_session::at_primary() const {
     return may_write() || m_operation.route.consistency == read_consistency::strict;
 }
@@ -313,7 +320,7 @@
     work.values.assign(m_values.begin(), m_values.end());
     work.min_position = target.min_position;
     work.strict = target.strict && !m_operation.target;
-    work.read_only_work = m_operation.read_only;
+    work.read_only_work = is_read_only_work();
     work.priority = m_operation.route.priority;
     work.objective_left =
         std::max<duration>(m_operation.route.latency_objective - elapsed(), duration(0));
@@ -589,7 +596,7 @@
     if (commits || autocommit) {
         // The position of a read is not recorded: later reads of this session would then need
         // fresher replicas than necessary.
-        if (may_write() && answer.position != log_position{}) {
+        if (pending_changes_data() && answer.position != log_position{}) {
             m_last_write = std::max(m_last_write.value_or(log_position{}), answer.position);
             m_service.observer.commit_acknowledged(
                 m_operation.route.group,
--- a/src/session/caller_session.hpp
+++ b/src/session/caller_session.hpp
@@ -138,6 +138,7 @@
     void abort_transaction();
     bool may_write() const;
     bool pending_changes_data() const;
+    bool is_read_only_work() const;
     void record_outcome(std::string_view outcome) const;
     duration elapsed() const { return event_loop::now() - m_pending.received_at; }
 
--- a/test/session/former_primary_test.cpp
+++ b/test/session/former_primary_test.cpp
@@ -94,6 +94,13 @@
         SECTION("and the host goes on with the successor") {
             REQUIRE(test.primary() == known_primary{"r", 2});
         }
+        SECTION("and the caller gets its answer") {
+            REQUIRE(test.answer->signature == "signature");
+        }
+        SECTION("and the session's reads don't wait for that position") {
+            test.submit(statement_kind::read);
+            REQUIRE(test.host.sent.front().work.min_position == log_position{2, 27});
+        }
     }
     SECTION("after it has lost the lead: whether the successor has the commit isn't known") {
         test.submit(statement_kind::write);
@@ -125,3 +132,19 @@
         REQUIRE(test.acknowledged.size() == 1);
     }
 }
+
+// Its log ends in an earlier term then, and the commit was reported as one of unknown outcome.
+TEST_CASE("a new primary that hasn't committed yet ends a transaction without writes") {
+    replaced_primary test;
+    test.host.reports["p"] = make_status(replication_role::primary, 2);
+    test.learn_status("p");
+    test.submit(statement_kind::begin);
+    test.submit(statement_kind::read);
+    test.complete({1, 27});
+    test.submit(statement_kind::commit);
+    test.complete({1, 27});
+
+    SECTION("and the caller gets its answer") {
+        REQUIRE(test.answer->signature == "signature");
+    }
+}
