A successor needs what commits prove, not what their answers name

Cause: the answer to a commit names the end of the primary's log, which may hold later entries that no replica has received. Hosts took that position for the commit's own and told it to each other, and choose_successor() takes no replica that has received less. No replica had, and none could.

Evidence: a play of the rig. The primary crashes at 1.240, the replicas have 1.237; 1302 and 1304 (32 times in 19 s) follow each other, both replicas answer each time, and none is chosen.

Change: the gateway tells with a commit's answer the lowest position that the commit can have: one above all that the instance had reported when the commit was sent. A term's log only grows, and a later term's positions are higher; so each acknowledged commit is at this position or above, and a replica that has the commit has this position. That is what hosts record, tell each other, ask of a successor and compare with the beginning of a new term (1312). The session's own reads go on with the answer's position, since the commit is not above it.

upstream_pool_test, caller_session_test: the lowest position, and what is recorded of it.

--- a/include/bronzeplank/acknowledged_writes.hpp
+++ b/include/bronzeplank/acknowledged_writes.hpp
@@ -21,6 +21,7 @@
     std::string id;
     /// The instance that confirmed the commit.
     std::string instance;
+    /// The commit's position, or the lowest one that it can have.
     log_position position;
     time_point acknowledged_at{};
     auto operator<=>(const acknowledged_write&) const = default;
--- a/include/bronzeplank/failover.hpp
+++ b/include/bronzeplank/failover.hpp
@@ -77,7 +77,8 @@
     std::set<std::string> members;
     /// The group's last known primary, listed or not.
     std::string old_primary;
-    /// The newest commit that any live host knows to be acknowledged.
+    /// The newest commit that any live host knows to be acknowledged: its position, or the lowest
+    /// one that it can have.
     log_position acknowledged;
     /// No instance can have left unseen with which the old primary has acknowledged commits; see
     /// group_roster::is_complete().
--- a/include/bronzeplank/log_position.hpp
+++ b/include/bronzeplank/log_position.hpp
@@ -19,6 +19,9 @@
     auto operator<=>(const log_position&) const = default;
 };
 
+/// The lowest position that a commit can have which begins when the log ends at `end`.
+log_position lowest_after(const log_position& end);
+
 /// Parses an offset in PostgreSQL's `high/low` notation; returns nothing for any other text.
 std::optional<std::uint64_t> parse_offset(std::string_view text);
 
--- a/include/bronzeplank/statement.hpp
+++ b/include/bronzeplank/statement.hpp
@@ -94,12 +94,16 @@
     std::vector<std::string> rows;
     /// The upstream's signature, which shows that it ran the statement.
     std::string signature;
-    /// The end of the upstream's log; {0, 0} if it was not reported.
+    /// The end of the upstream's log; {0, 0} if it was not reported. It may be above the position
+    /// of the answered commit, and above all that replicas have received.
     log_position position;
     /// How long the upstream took; zero if it did not run the statement.
     duration run_time{};
     /// The upstream's load when its gateway answered; nothing if no gateway did.
     std::optional<load_report> load{};
+    /// Of a commit that changed data: no lower position can be its own. {0, 0} if its gateway
+    /// doesn't report it.
+    log_position lowest_commit{};
     bool operator==(const statement_answer&) const = default;
 };
 
--- a/src/core/log_position.cpp
+++ b/src/core/log_position.cpp
@@ -17,6 +17,10 @@
 
 } // namespace
 
+log_position lowest_after(const log_position& end) {
+    return {end.term, end.offset + 1};
+}
+
 std::optional<std::uint64_t> parse_offset(std::string_view text) {
     const auto slash = text.find('/');
     if (slash == std::string_view::npos) {
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -598,9 +598,12 @@
         // fresher replicas than necessary.
         if (pending_changes_data() && answer.position != log_position{}) {
             m_last_write = std::max(m_last_write.value_or(log_position{}), answer.position);
+            // A successor needs no entry that the log had gained after this commit.
+            const bool reported = answer.lowest_commit != log_position{};
             m_service.observer.commit_acknowledged(
                 m_operation.route.group,
-                {m_pending.request.id, instance, answer.position, event_loop::now()});
+                {m_pending.request.id, instance, reported ? answer.lowest_commit : answer.position,
+                 event_loop::now()});
         }
         m_state = session_state::idle;
         m_operation.target.reset();
--- a/src/session/fleet_messages.cpp
+++ b/src/session/fleet_messages.cpp
@@ -153,6 +153,8 @@
     target.set_term(answer.position.term);
     target.set_offset(answer.position.offset);
     target.set_run_us(static_cast<std::uint64_t>(answer.run_time.count()));
+    target.set_lowest_commit_term(answer.lowest_commit.term);
+    target.set_lowest_commit_offset(answer.lowest_commit.offset);
     if (answer.load) {
         write_load(*answer.load, target);
     }
@@ -164,7 +166,8 @@
             message.signature(),
             {message.term(), message.offset()},
             read_duration(message.run_us()),
-            read_load(message)};
+            read_load(message),
+            {message.lowest_commit_term(), message.lowest_commit_offset()}};
 }
 
 void write_report(const std::optional<replication_status>& status,
--- a/src/session/upstream_pool.hpp
+++ b/src/session/upstream_pool.hpp
@@ -126,6 +126,7 @@
              changes](const std::optional<replication_status>& status) {
                 if (status) {
                     record_response();
+                    m_highest_position = std::max(m_highest_position, status->received);
                 }
                 if (changes) {
                     m_unanswered_commands.erase(m_unanswered_commands.find(sent_at));
@@ -626,6 +627,7 @@
     }
 
     void record_position(const log_position& position) {
+        m_highest_position = std::max(m_highest_position, position);
         if (position != log_position{}) {
             m_log_position = position;
             m_log_position_at = event_loop::now();
@@ -691,11 +693,17 @@
                                          ? connection->prepare(work.request.shape)
                                          : "";
         const bool ends_transaction = work.request.kind == statement_kind::commit;
+        // A term's log only grows, and a later term's positions are higher: a commit that is sent
+        // now is above all positions that the instance has reported.
+        const log_position lowest_commit =
+            commits_changes(work) ? lowest_after(m_highest_position) : log_position{};
         connection->upstream->run(
             work.request, prepared, min_position,
-            [this, connection, ends_transaction](const statement_answer& answer) {
+            [this, connection, ends_transaction, lowest_commit](const statement_answer& answer) {
                 if (!connection->closed) {
-                    finish_statement(connection, answer, ends_transaction);
+                    statement_answer finished = answer;
+                    finished.lowest_commit = lowest_commit;
+                    finish_statement(connection, finished, ends_transaction);
                 }
             });
     }
@@ -896,6 +904,8 @@
     /// The end of the instance's log as of its newest answer to a statement.
     std::optional<log_position> m_log_position;
     time_point m_log_position_at{};
+    /// The highest position that the instance has reported of its log.
+    log_position m_highest_position;
 };
 
 } // namespace bronzeplank
--- a/test/process/failover_rig.py
+++ b/test/process/failover_rig.py
@@ -29,6 +29,7 @@
 import path_troubles  # noqa: E402
 import proxied_paths  # noqa: E402
 import seeded_runs  # noqa: E402
+import unreplicated_commits  # noqa: E402
 import world as standins  # noqa: E402
 
 KEY = "key-of-tenant0"
@@ -37,7 +38,7 @@
 RESTART_AFTER_S = 0.3
 RESTART_SPREAD_S = 1.0
 SEQUENCES = (failover_troubles.SEQUENCES | held_promotions.SEQUENCES
-             | path_troubles.SEQUENCES)
+             | path_troubles.SEQUENCES | unreplicated_commits.SEQUENCES)
 
 
 class Rig:
--- a/test/process/replicated_group.py
+++ b/test/process/replicated_group.py
@@ -31,6 +31,8 @@
         # Cut from the other instances, and from the store.
         self.apart = self.offline = False
         self.crashed_at = None
+        # Called before the answer to a commit that has written is sent.
+        self.on_commit_answered = None
         self.born = int(time.time() * 1000)
 
     def entry(self):
@@ -82,6 +84,8 @@
         asyncio.get_running_loop().call_later(REPLICATE_S, self.group.replicate, self)
         await future
         await self.reached.wait()
+        if self.on_commit_answered:
+            self.on_commit_answered(self)
 
     async def run(self, session, identity, text):
         self.world.passed_on.add(identity)
--- a/test/session/caller_session_test.cpp
+++ b/test/session/caller_session_test.cpp
@@ -184,11 +184,18 @@
             REQUIRE(group == "g");
             reported.push_back(write);
         };
-        test.host.answer(upstream_result::done, {1, 31});
+        SECTION("if the answer doesn't tell which position it has at least") {
+            test.host.answer(upstream_result::done, {1, 31});
+            REQUIRE(reported.front().position == log_position{1, 31});
+        }
+        SECTION("with the lowest position that it can have: later entries aren't acknowledged") {
+            test.host.sent.front().on_answer(
+                {upstream_result::done, {}, "signature", {1, 31}, {}, {}, {1, 29}});
+            REQUIRE(reported.front().position == log_position{1, 29});
+        }
         REQUIRE(reported.size() == 1);
         REQUIRE(reported.front().id == "id");
         REQUIRE(reported.front().instance == "p");
-        REQUIRE(reported.front().position == log_position{1, 31});
     }
     SECTION("has an unknown outcome and is not sent again when its answer was lost") {
         test.host.answer(upstream_result::unanswered);
--- a/test/session/fleet_test.cpp
+++ b/test/session/fleet_test.cpp
@@ -199,7 +199,8 @@
                 "signature",
                 {3, 18},
                 milliseconds(9),
-                load_report{7, 2, milliseconds(11), log_position{3, 18}, milliseconds(4)}};
+                load_report{7, 2, milliseconds(11), log_position{3, 18}, milliseconds(4)},
+                log_position{3, 17}};
             second->answers.front()(sent);
             REQUIRE(run_until(loop, [&] { return answer.has_value(); }));
             REQUIRE(*answer == sent);
--- a/test/session/upstream_pool_test.cpp
+++ b/test/session/upstream_pool_test.cpp
@@ -122,6 +122,44 @@
     }
 }
 
+// A successor had to have the position that a commit was answered with. It may name a later entry,
+// which no replica has received: then a group whose primary had crashed got no other one.
+TEST_CASE("a commit's answer tells which position the commit has at least") {
+    pool_fixture test;
+    test.run(make_write("desk", "write"));
+    test.instance.accept(0);
+
+    SECTION("any, if the instance has reported none before") {
+        test.instance.answer(0, {upstream_result::done, {}, "sig", {3, 18}});
+        REQUIRE(test.answers.back().lowest_commit == log_position{0, 1});
+    }
+    SECTION("one that is above all positions that it had reported") {
+        test.instance.answer(0, {upstream_result::done, {}, "sig", {3, 18}});
+        SECTION("in answers") {}
+        SECTION("also if a newer answer names a lower one") {
+            test.run(make_read("desk", "read"));
+            test.instance.answer(0, {upstream_result::done, {}, "sig", {2, 40}});
+        }
+        test.run(make_write("desk", "write"));
+        test.instance.answer(0, {upstream_result::done, {}, "sig", {3, 25}});
+        REQUIRE(test.answers.back().lowest_commit == log_position{3, 19});
+        REQUIRE(test.answers.back().position == log_position{3, 25});
+    }
+    SECTION("as of the time when it was sent") {
+        test.run(make_write("portal", "write"));
+        test.instance.accept(1);
+        test.instance.answer(0, {upstream_result::done, {}, "sig", {3, 18}});
+        test.instance.answer(1, {upstream_result::done, {}, "sig", {3, 18}});
+        REQUIRE(test.answers.back().lowest_commit == log_position{0, 1});
+    }
+    SECTION("but none, if it is a read") {
+        test.instance.answer(0, {upstream_result::done, {}, "sig", {3, 18}});
+        test.run(make_read("desk", "read"));
+        test.instance.answer(0, {upstream_result::done, {}, "sig", {3, 18}});
+        REQUIRE(test.answers.back().lowest_commit == log_position{});
+    }
+}
+
 TEST_CASE("a pool reports its load") {
     pool_fixture test;
     for (int i = 0; i < 5; ++i) {
