A term has one primary, and a claim proves the one that it names

Cause: primary_tracker kept each instance's highest term apart and took the first in the order of ids among equal ones; restore_contact() compared the claim's term with the primary's, and not the instance that the claim names.

Change: of contradicting reports of one term, the one with the stronger evidence counts: the instance's own status before an accepted promotion, and that before what another host believes, which never replaces what is known. A claim that names another instance for the primary's term proves nothing; all members have to answer then, as where no claim does.

primary_tracker_test failed before in two places, upstream_router_test in one.

--- a/include/bronzeplank/primary_tracker.hpp
+++ b/include/bronzeplank/primary_tracker.hpp
@@ -50,7 +50,8 @@
 
 /// Tracks one group's primary, as reported by the list, by the instances themselves and by
 /// promotions that any host has started. The instance with the highest term is the current one; it
-/// is replaced by one with a lower term only if it has left the list or reported to be a replica.
+/// is replaced by one with a lower term only if it has left the list or reported to be a replica. A
+/// term has one primary: of contradicting reports, the one with the stronger evidence counts.
 /// Usage: `tracker.record_primary("a", 3, primary_evidence::status);` `const auto primary =
 /// tracker.current(listed, "g");`
 class primary_tracker {
@@ -93,6 +94,7 @@
         primary_evidence evidence = primary_evidence::listed;
     };
 
+    bool is_contradicted(const std::string& instance, const led_term& led) const;
     void record(const std::string& instance, const led_term& led);
 
     /// The highest known term of which the instance is or was the primary.
--- a/src/core/primary_tracker.cpp
+++ b/src/core/primary_tracker.cpp
@@ -15,8 +15,24 @@
            replica.term <= primary.term && replica.paused_by <= primary.term;
 }
 
+// One instance leads a term. What it reported itself outweighs what others expected or believe, and
+// a belief of another host may be older than what this host has recorded.
+bool primary_tracker::is_contradicted(const std::string& instance, const led_term& led) const {
+    return std::any_of(m_terms.begin(), m_terms.end(), [&](const auto& entry) {
+        const auto& [other, known] = entry;
+        return other != instance && known.term == led.term &&
+               (led.evidence == primary_evidence::peer || known.evidence > led.evidence);
+    });
+}
+
 void primary_tracker::record(const std::string& instance, const led_term& led) {
     m_newest = std::max(m_newest, led.term);
+    if (is_contradicted(instance, led)) {
+        return;
+    }
+    std::erase_if(m_terms, [&](const auto& entry) {
+        return entry.first != instance && entry.second.term == led.term;
+    });
     led_term& known = m_terms[instance];
     if (led.term > known.term) {
         known = led;
--- a/src/session/leadership_checks.cpp
+++ b/src/session/leadership_checks.cpp
@@ -32,6 +32,13 @@
          {"claim_finished", claim != nullptr ? (claim->finished ? "true" : "false") : ""}});
 }
 
+// Whether the claim shows that another instance was promoted, or is being promoted, for the
+// primary's term.
+bool names_other_primary(const failover_claim& claim, const known_primary& primary) {
+    const std::string& promoted = claim.newest_promoted();
+    return claim.promoted_term == primary.term && !promoted.empty() && promoted != primary.instance;
+}
+
 } // namespace
 
 // Whether the group's commits are acknowledged by the primary alone. Its replicas may be promoted
@@ -167,7 +174,7 @@
         const bool newer = claim && claim->promoted_term > next.primary.term;
         note_superseded(next.group, newer);
         note_claim(next.group, claim, next.primary, next.requested_at);
-        if (newer || (claim && claim->complete)) {
+        if (newer || (claim && claim->complete && !names_other_primary(*claim, next.primary))) {
             if (!newer) {
                 log_restored(next.group, next.primary, &*claim);
                 note_proof(next.group, next.primary, next.requested_at);
--- a/test/primary_tracker_test.cpp
+++ b/test/primary_tracker_test.cpp
@@ -52,9 +52,40 @@
                 REQUIRE(tracker.current(list, "g") == known_primary{"b", 5});
             }
         }
+        SECTION("whatever other hosts say of its term") {
+            tracker.record_hearsay("a", 4);
+            REQUIRE(tracker.current(list, "g") == known_primary{"b", 4});
+        }
         SECTION("but not when it has left the list") {
             list.erase("b");
             REQUIRE(tracker.current(list, "g") == known_primary{"a", 3});
         }
     }
 }
+
+// A former primary with the lower id was preferred to its successor as long as any host took it for
+// the primary of the successor's term (review/12).
+TEST_CASE("a term has one primary") {
+    const upstream_list list{{"a", listed("a", true)}, {"b", listed("b", false)}};
+    primary_tracker tracker;
+    const auto primary = [&] { return tracker.current(list, "g").value_or(known_primary{}); };
+
+    SECTION("which another host names") {
+        tracker.record_hearsay("a", 4);
+        SECTION("until the platform accepts another promotion for that term") {
+            tracker.record_primary("b", 4, primary_evidence::promotion);
+            REQUIRE(primary() == known_primary{"b", 4});
+            SECTION("and an instance reports that it leads it") {
+                tracker.record_primary("a", 4, primary_evidence::status);
+                tracker.record_primary("b", 4, primary_evidence::promotion);
+                REQUIRE(primary() == known_primary{"a", 4});
+                REQUIRE(tracker.evidence_for("a") == primary_evidence::status);
+            }
+        }
+        SECTION("even if a third one names another") {
+            tracker.record_hearsay("b", 4);
+            REQUIRE(primary() == known_primary{"a", 4});
+        }
+    }
+    REQUIRE(tracker.newest_term() == 4);
+}
--- a/test/session/upstream_router_test.cpp
+++ b/test/session/upstream_router_test.cpp
@@ -285,6 +285,16 @@
             REQUIRE_FALSE(confirmed());
         }
     }
+    SECTION("and a claim that names another instance for its term") {
+        claim = failover_claim{2, "other", "r", true, 2};
+        SECTION("is not confirmed by the claim") {
+            REQUIRE_FALSE(confirmed());
+        }
+        SECTION("is confirmed if all members say that they follow it") {
+            members = {"p", "r"};
+            REQUIRE(confirmed());
+        }
+    }
     SECTION("is not confirmed while all its replicas are unlisted, which may run") {
         claim = failover_claim{2, "other", "p", true, 2};
         host.directory.remove_instance("r", event_loop::now());
