Reads wait for no position that a failover has discarded

A caller whose commit was answered shortly before its primary crashed could not read on read-your-writes routes until somebody had written at the new primary, and bounded reads were refused for as long as their staleness bound.

Cause: a session requires the position that its commit was answered with, and a bounded read one that the primary had reported. Both are ends of the old primary's log and may name entries that no replica has received. The new primary's log ends below them until it commits.

Change: under a newer primary, a read requires at most the position with which that one's term began, if this host knows it: the log has all acknowledged commits of earlier terms up to there.

caller_session_test failed before: the read required 1.99 of a log that had begun its term at 1.98.

--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -149,7 +149,8 @@
     }
     const auto primary = m_directory.primary(route.group);
     const auto candidates = read_candidates(route.group, excluded, primary);
-    const log_position position = written ? std::max(*written, *needed) : *needed;
+    const log_position position =
+        without_discarded(route.group, written ? std::max(*written, *needed) : *needed);
     const bool samples = m_fleet.live_host_count(now) > hosts_at_min_interval;
     const auto chosen = samples ? place_by_reports(candidates, route, position, now)
                                 : bronzeplank::place_read(candidates, {});
@@ -162,6 +163,19 @@
                             route.database};
 }
 
+// The log with which a term began has all acknowledged commits of earlier terms. A position above
+// its end may be that of an entry that the failover discarded: no instance has it until the new
+// primary commits.
+log_position session_service::without_discarded(const std::string& group,
+                                                const log_position& needed) {
+    const auto primary = m_directory.primary(group);
+    if (!primary || primary->term <= needed.term) {
+        return needed;
+    }
+    const auto first = m_directory.primary_tracker_for(group).first_position(*primary);
+    return first ? std::min(needed, *first) : needed;
+}
+
 std::vector<placement_candidate>
 session_service::read_candidates(const std::string& group, const std::set<std::string>& excluded,
                                  const std::optional<known_primary>& primary) {
--- a/test/session/caller_session_test.cpp
+++ b/test/session/caller_session_test.cpp
@@ -172,6 +172,38 @@
     REQUIRE(test.sent().min_position == log_position{1, 99});
 }
 
+// Its reads were refused until the new primary committed something: no instance had the position.
+TEST_CASE("a session whose write was answered with a position that a failover has discarded") {
+    session_fixture test("own");
+    test.prime_freshness_window();
+    test.submit(make(statement_kind::write));
+    test.host.answer(upstream_result::done, {1, 99});
+    primary_tracker& tracker = test.host.directory.primary_tracker_for("g");
+    tracker.record_primary("r", 2, primary_evidence::status);
+
+    SECTION("reads from the log with which the new term began") {
+        tracker.record_beginning({{"r", 2}, {1, 98}});
+        test.submit(make(statement_kind::read));
+        REQUIRE(test.sent().min_position == log_position{1, 98});
+    }
+    SECTION("needs its position if the new term began above it") {
+        tracker.record_beginning({{"r", 2}, {1, 100}});
+        test.submit(make(statement_kind::read));
+        REQUIRE(test.sent().min_position == log_position{1, 99});
+    }
+    SECTION("needs its position while it isn't known how the new term began") {
+        test.submit(make(statement_kind::read));
+        REQUIRE(test.sent().min_position == log_position{1, 99});
+    }
+    SECTION("needs the position of what it writes in the new term") {
+        tracker.record_beginning({{"r", 2}, {1, 98}});
+        test.submit(make(statement_kind::write));
+        test.host.answer(upstream_result::done, {2, 101});
+        test.submit(make(statement_kind::read));
+        REQUIRE(test.sent().min_position == log_position{2, 101});
+    }
+}
+
 TEST_CASE("a write") {
     session_fixture test("own");
     test.submit(make(statement_kind::write));
