Name the position that a read can wait for, and say what outweighs what

The comment on answers of work that may write claimed that only a primary completes it. No change of behavior.

--- a/include/bronzeplank/primary_tracker.hpp
+++ b/include/bronzeplank/primary_tracker.hpp
@@ -52,16 +52,17 @@
 /// promotions that any host has started. The instance with the highest term is the current one; it
 /// is replaced by one with a lower term only if it has left the list or reported to be a replica. A
 /// term has one primary: of contradicting reports, the one with the stronger evidence counts.
-/// Usage: `tracker.record_primary("a", 3, primary_evidence::status);` `const auto primary =
-/// tracker.current(listed, "g");`
+/// Usage: `tracker.record_primary("a", 3, primary_evidence::status);`
+/// `const auto primary = tracker.current(listed, "g");`
 class primary_tracker {
 public:
     /// Records that the instance is or was the primary of the term, as it reported itself or as the
-    /// platform accepted.
+    /// platform accepted. Ignored if stronger evidence names another one.
     void record_primary(const std::string& instance, std::uint64_t term, primary_evidence evidence);
 
-    /// Records what another host believes. Ignored if the instance has reported to be a replica
-    /// since: the other host may not have heard of that.
+    /// Records what another host believes. Ignored if another instance is known as the primary of
+    /// the term, or if this one has reported to be a replica since: the other host may not have
+    /// heard of that.
     void record_hearsay(const std::string& instance, std::uint64_t term);
 
     /// Records that the instance reported to be a replica: it is the primary of no term up to this.
@@ -94,6 +95,7 @@
         primary_evidence evidence = primary_evidence::listed;
     };
 
+    /// Whether another instance is known as the term's primary by evidence that outweighs this.
     bool is_contradicted(const std::string& instance, const led_term& led) const;
     void record(const std::string& instance, const led_term& led);
 
--- a/src/core/primary_tracker.cpp
+++ b/src/core/primary_tracker.cpp
@@ -15,8 +15,8 @@
            replica.term <= primary.term && replica.paused_by <= primary.term;
 }
 
-// One instance leads a term. What it reported itself outweighs what others expected or believe, and
-// a belief of another host may be older than what this host has recorded.
+// One instance leads a term. What it has reported outweighs what others expect or believe, and
+// another host's belief may be older than what this host has recorded.
 bool primary_tracker::is_contradicted(const std::string& instance, const led_term& led) const {
     return std::any_of(m_terms.begin(), m_terms.end(), [&](const auto& entry) {
         const auto& [other, known] = entry;
--- a/src/session/session_service.cpp
+++ b/src/session/session_service.cpp
@@ -150,7 +150,7 @@
     const auto primary = m_directory.primary(route.group);
     const auto candidates = read_candidates(route.group, excluded, primary);
     const log_position position =
-        without_discarded(route.group, written ? std::max(*written, *needed) : *needed);
+        attainable_position(route.group, written ? std::max(*written, *needed) : *needed);
     const bool samples = m_fleet.live_host_count(now) > hosts_at_min_interval;
     const auto chosen = samples ? place_by_reports(candidates, route, position, now)
                                 : bronzeplank::place_read(candidates, {});
@@ -163,11 +163,11 @@
                             route.database};
 }
 
-// The log with which a term began has all acknowledged commits of earlier terms. A position above
-// its end may be that of an entry that the failover discarded: no instance has it until the new
-// primary commits.
-log_position session_service::without_discarded(const std::string& group,
-                                                const log_position& needed) {
+// The highest position that a read may have to wait for. The log with which a term began has all
+// acknowledged commits of earlier terms; a position above its end may be that of an entry that the
+// failover discarded, and no instance has it until the new primary commits.
+log_position session_service::attainable_position(const std::string& group,
+                                                  const log_position& needed) {
     const auto primary = m_directory.primary(group);
     if (!primary || primary->term <= needed.term) {
         return needed;
@@ -344,7 +344,8 @@
     if (answer.run_time > duration(0)) {
         m_work_times.record(target.database, kind, answer.run_time);
     }
-    // Only a primary completes work that may write.
+    // An instance that has committed changes led then, and may follow a newer primary by now: in
+    // both cases, the group's primary has reached the end of its log.
     if (!read_only && answer.result == upstream_result::done && answer.position != log_position{}) {
         m_progress[group].record_primary(now, answer.position);
     }
--- a/src/session/session_service.hpp
+++ b/src/session/session_service.hpp
@@ -184,7 +184,7 @@
     void log_rate_limited(time_point now);
     void exchange_usage(time_point now);
     bool may_use_primary(const upstream_instance& instance) const;
-    log_position without_discarded(const std::string& group, const log_position& needed);
+    log_position attainable_position(const std::string& group, const log_position& needed);
     std::vector<placement_candidate> read_candidates(const std::string& group,
                                                      const std::set<std::string>& excluded,
                                                      const std::optional<known_primary>& primary);
